--- /dev/null
+++ b/src/state/errors.ts
@@ -0,0 +1,68 @@
+/**
+ * The one table of errors: for each code its HTTP status, the outcome it states and its message with parameters.
+ *
+ * A code's message names the thing that failed. `refusal` builds the typed error that crosses layers and, at the edge,
+ * becomes the error body `{"error": {"code", "message", "outcome"}}`.
+ */
+import type { Outcome } from "./types.js";
+
+type ErrorEntry = { status: number; outcome: Outcome; message: (...parameters: string[]) => string; };
+
+const entry = (status: number, outcome: Outcome, message: (...parameters: string[]) => string): ErrorEntry => ({
+    status,
+    outcome,
+    message,
+});
+
+const errorTable = {
+    "malformed-body": entry(400, "not-run", reason => `request body is not valid: ${reason}`),
+    "unauthenticated": entry(401, "not-run", () => "API key is missing or not known"),
+    "unknown-model": entry(404, "not-run", model => `model "${model}" is not served here`),
+    "unknown-service": entry(404, "not-run", service => `service "${service}" does not exist`),
+    "unknown-route": entry(404, "not-run", (method, path) => `no route ${method} ${path}`),
+    "body-too-large": entry(413, "not-run", limit => `request body exceeds ${limit} bytes`),
+    "missing-idempotency-key": entry(
+        428,
+        "not-run",
+        service => `service "${service}" needs the header Idempotency-Key with a UUID version 7`,
+    ),
+    "invalid-idempotency-key": entry(400, "not-run", key => `Idempotency-Key "${key}" is not a UUID version 7`),
+    "expired-idempotency-key": entry(409, "not-run", key => `Idempotency-Key "${key}" is older than the claim window`),
+    "idempotency-key-reused": entry(422, "not-run", key => `Idempotency-Key "${key}" was used with another body`),
+    "over-limit": entry(429, "not-run", account => `client account "${account}" is over its limit`),
+    "quarantined": entry(422, "not-run", digest => `request ${digest} is quarantined: it crashed upstreams`),
+    "queue-full": entry(503, "not-run", target => `the queue for "${target}" is full`),
+    "cannot-start-in-time": entry(503, "not-run", target => `"${target}" cannot start the request before its deadline`),
+    "no-upstream": entry(503, "not-run", target => `"${target}" has no upstream that takes work`),
+    "upstream-full": entry(503, "not-run", upstream => `upstream "${upstream}" is at its limit`),
+    "upstream-draining": entry(503, "not-run", upstream => `upstream "${upstream}" is draining`),
+    "log-unavailable": entry(503, "not-run", stream => `log stream "${stream}" is not available`),
+    "not-ready": entry(503, "not-run", host => `host "${host}" has not read its settings yet`),
+    "deadline-passed": entry(504, "not-run", () => "the deadline passed before the request started"),
+    "interrupted": entry(502, "unknown", target => `the answer of "${target}" was cut and could not be resumed`),
+    "outcome-unknown": entry(502, "unknown", key => `whether the request with Idempotency-Key "${key}" ran is unknown`),
+} satisfies Record<string, ErrorEntry>;
+
+export type ErrorCode = keyof typeof errorTable;
+
+/** A final refusal or failure of one request. */
+export type Refusal = {
+    code: ErrorCode;
+    message: string;
+    status: number;
+    outcome: Outcome;
+    /** When the caller may come back, in whole seconds. */
+    retryAfterSeconds?: number;
+};
+
+/** Builds the refusal for `code`; `parameters` fill its message. */
+export const refusal = (code: ErrorCode, parameters: string[] = [], retryAfterSeconds?: number): Refusal => {
+    const { status, outcome, message } = errorTable[code];
+    return {
+        code,
+        message: message(...parameters),
+        status,
+        outcome,
+        ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
+    };
+};
--- /dev/null
+++ b/tests/support/plainReporter.ts
@@ -0,0 +1,13 @@
+/**
+ * Mocha's spec report, closed by one plain line `N passed, N failed`.
+ */
+import Mocha from "mocha";
+
+export default class PlainReporter extends Mocha.reporters.Spec {
+    override done(failures: number, finish: (failures: number) => void): void {
+        const { passes = 0, pending = 0 } = this.stats;
+        const skipped = pending > 0 ? `, ${pending} skipped` : "";
+        console.log(`${passes} passed, ${failures} failed${skipped}`);
+        finish(failures);
+    }
+}
