--- /dev/null
+++ b/src/programs/standin.ts
@@ -0,0 +1,86 @@
+#!/usr/bin/env node
+/**
+ * `cyclamengap-standin`: small stand-ins for the platform, a model engine and a plain service, one process each.
+ *
+ * Prints one JSON line with the addresses once it listens, and stops on SIGTERM or SIGINT.
+ */
+import { defineCommand, runMain } from "citty";
+import { v7 as newId } from "uuid";
+import { startEngine } from "../standin/modelEngine.js";
+import { startPlainService } from "../standin/plainService.js";
+import { startPlatform } from "../standin/platform.js";
+import { systemClock as clock } from "../standin/systemClock.js";
+
+const listen = { type: "string", default: "127.0.0.1:0", description: "address, ip:port" } as const;
+
+const announce = (fields: Record<string, unknown>): void => {
+    process.stdout.write(`${JSON.stringify({ event: "listening", ...fields })}\n`);
+};
+
+/** Aborts on the first SIGTERM or SIGINT. */
+const stopSignal = (): AbortSignal => {
+    const stop = new AbortController();
+    for (const name of ["SIGTERM", "SIGINT"] as const) {
+        process.once(name, () => stop.abort());
+    }
+    return stop.signal;
+};
+
+const platform = defineCommand({
+    meta: { name: "platform", description: "append-only log, host list and weight store" },
+    args: { listen },
+    run: async ({ args }) => {
+        const { address } = await startPlatform({ listen: args.listen, clock, signal: stopSignal() });
+        announce({ role: "platform", address });
+    },
+});
+
+const service = defineCommand({
+    meta: { name: "service", description: "plain service that records its runs" },
+    args: { listen },
+    run: async ({ args }) => {
+        const { address } = await startPlainService({ listen: args.listen, clock, signal: stopSignal() });
+        announce({ role: "service", address });
+    },
+});
+
+const engine = defineCommand({
+    meta: { name: "engine", description: "group of ranks in lock-step, one port a rank" },
+    args: {
+        listen: { ...listen, description: "address of rank 0, ip:port; rank r listens r ports above" },
+        "ranks": { type: "string", default: "4" },
+        "step-milliseconds": { type: "string", default: "20" },
+        "capacity": { type: "string", default: "64", description: "sequences that a warm rank runs at once" },
+        "cold-capacity": { type: "string", default: "4", description: "sequences that a cold rank bears" },
+        "warm-after-tokens": { type: "string", default: "500" },
+        "cold-grace-steps": { type: "string", default: "100" },
+        "restart-milliseconds": { type: "string", default: "200" },
+        "checks-fence": { type: "boolean", default: false },
+        "starts-warm": { type: "boolean", default: false },
+    },
+    run: async ({ args }) => {
+        const { addresses } = await startEngine({
+            listen: args.listen,
+            ranks: Number(args.ranks),
+            stepMilliseconds: Number(args["step-milliseconds"]),
+            capacity: Number(args.capacity),
+            coldCapacity: Number(args["cold-capacity"]),
+            warmAfterTokens: Number(args["warm-after-tokens"]),
+            coldGraceSteps: Number(args["cold-grace-steps"]),
+            restartMilliseconds: Number(args["restart-milliseconds"]),
+            checksFence: args["checks-fence"],
+            startsWarm: args["starts-warm"],
+            engineId: newId(),
+            clock,
+            signal: stopSignal(),
+        });
+        announce({ role: "engine", addresses });
+    },
+});
+
+const main = defineCommand({
+    meta: { name: "cyclamengap-standin", description: "stand-ins for the platform and for upstreams" },
+    subCommands: { platform, engine, service },
+});
+
+await runMain(main);
--- /dev/null
+++ b/src/standin/engineRank.ts
@@ -0,0 +1,262 @@
+/**
+ * One rank of a stand-in engine: continuous batching, cold start, crashes and faults.
+ *
+ * Each step gives one token to every running sequence. A cold rank takes everything that it is sent and crashes above
+ * its cold capacity; a warm one runs up to its capacity and lets the rest wait by priority.
+ */
+import type { Clock } from "../state/types.js";
+import { priorities, type Sequence } from "./sequence.js";
+
+export type RankSettings = {
+    /** Sequences that a warm rank runs at once. */
+    capacity: number;
+    /** Sequences that a cold rank bears. */
+    coldCapacity: number;
+    /** Tokens that a cold rank generates until it is warm. */
+    warmAfterTokens: number;
+    /** Steps for which a rank that turned cold under load bears what it already runs. */
+    coldGraceSteps: number;
+    /** Time that a crashed rank stays away. */
+    restartMilliseconds: number;
+};
+
+export type RankFaults = {
+    /** Share of full speed. */
+    speed: number;
+    /** Extra time of the next step. */
+    stallMilliseconds: number;
+    /** Cuts the first stream that has generated so many tokens, once; 0 for none. */
+    cutStreamAfterTokens: number;
+    /** Swaps the next chunks of two running requests, once. */
+    crossAnswers: boolean;
+    /** Delay of every chunk. */
+    lateMilliseconds: number;
+    /** Age of what `GET /load` reports. */
+    loadLagMilliseconds: number;
+};
+
+export type RankCounters = {
+    admitted: number;
+    admittedWhileCold: number;
+    /** Admissions of a cold rank that already ran as much as it bears. */
+    admittedAboveColdCapacity: number;
+    crashes: number;
+    completed: number;
+    cancelled: number;
+    generatedTokens: number;
+};
+
+/** One token on its way to a caller. */
+type Chunk = { sequence: Sequence; event: string; last: boolean; };
+
+const crashingPrompt = "crash-upstream";
+
+export class EngineRank {
+    readonly faults: RankFaults = {
+        speed: 1,
+        stallMilliseconds: 0,
+        cutStreamAfterTokens: 0,
+        crossAnswers: false,
+        lateMilliseconds: 0,
+        loadLagMilliseconds: 0,
+    };
+    readonly counters: RankCounters = {
+        admitted: 0,
+        admittedWhileCold: 0,
+        admittedAboveColdCapacity: 0,
+        crashes: 0,
+        completed: 0,
+        cancelled: 0,
+        generatedTokens: 0,
+    };
+    readonly rank: number;
+    readonly settings: RankSettings;
+    readonly running: Sequence[] = [];
+    readonly waiting: Sequence[] = [];
+    cold = true;
+    /** Time at which a crashed rank is back; 0 while it is up. */
+    downUntil = 0;
+    private incarnationNumber = 1;
+    private readonly engineId: string;
+    private readonly clock: Clock;
+    private readonly signal: AbortSignal;
+    private tokensWhileCold = 0;
+    private graceSteps = 0;
+
+    constructor(rank: number, engineId: string, settings: RankSettings, clock: Clock, signal: AbortSignal) {
+        this.rank = rank;
+        this.engineId = engineId;
+        this.settings = settings;
+        this.clock = clock;
+        this.signal = signal;
+    }
+
+    /** Changes whenever the rank crashes or its process starts anew. */
+    get incarnation(): string {
+        return `${this.engineId}-${this.rank}-${this.incarnationNumber}`;
+    }
+
+    get down(): boolean {
+        return this.downUntil > 0;
+    }
+
+    /** Takes a request in, or crashes if the rank is cold and already bears all that it can. */
+    admit(sequence: Sequence): void {
+        this.counters.admitted += 1;
+        if (this.cold) {
+            this.counters.admittedWhileCold += 1;
+            this.running.push(sequence);
+            if (this.running.length > this.settings.coldCapacity) {
+                this.counters.admittedAboveColdCapacity += 1;
+                this.crash();
+            }
+            return;
+        }
+        this.waiting.push(sequence);
+        this.startWaiting();
+    }
+
+    /** Drops the request `id` wherever it is; gives whether it was there. */
+    cancel(id: string): boolean {
+        const sequence = [...this.running, ...this.waiting].find(candidate => candidate.id === id);
+        return sequence !== undefined && this.drop(sequence);
+    }
+
+    /** Drops one sequence; another attempt of the same request stays. */
+    drop(sequence: Sequence): boolean {
+        for (const list of [this.running, this.waiting]) {
+            const position = list.indexOf(sequence);
+            if (position >= 0) {
+                list.splice(position, 1);
+                sequence.cut();
+                this.counters.cancelled += 1;
+                this.startWaiting();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Cuts all streams; the rank comes back cold, under a new incarnation. */
+    crash(): void {
+        this.counters.crashes += 1;
+        this.incarnationNumber += 1;
+        const dropped = [...this.running.splice(0), ...this.waiting.splice(0)];
+        for (const sequence of dropped) {
+            sequence.cut();
+        }
+        this.cold = true;
+        this.tokensWhileCold = 0;
+        this.graceSteps = 0;
+        this.downUntil = this.clock.now() + this.settings.restartMilliseconds;
+    }
+
+    /** Loses its warm state under whatever it runs; waiting requests wait on until it is warm. */
+    turnCold(): void {
+        this.cold = true;
+        this.tokensWhileCold = 0;
+        this.graceSteps = this.settings.coldGraceSteps;
+    }
+
+    /** Length of the coming step for this rank alone; takes a stall fault with it. */
+    takeStepLength(stepMilliseconds: number): number {
+        const length = stepMilliseconds / this.faults.speed + this.faults.stallMilliseconds;
+        this.faults.stallMilliseconds = 0;
+        return length;
+    }
+
+    /** Ends a step: every running sequence gets its next token. */
+    finishStep(): void {
+        if (this.running.some(sequence => sequence.prompt.includes(crashingPrompt)) || this.overwhelmed()) {
+            this.crash();
+            return;
+        }
+        const chunks = this.running.map(sequence => {
+            const event = sequence.generate();
+            return { sequence, event, last: sequence.finished };
+        });
+        this.counters.generatedTokens += chunks.length;
+        this.crossChunks(chunks);
+        this.emit(chunks);
+        this.cutStreams();
+        this.removeFinished();
+        this.warmUp(chunks.length);
+        this.startWaiting();
+    }
+
+    /** Whether a rank that turned cold still runs more than it bears after its grace. */
+    private overwhelmed(): boolean {
+        if (!this.cold || this.running.length <= this.settings.coldCapacity) {
+            return false;
+        }
+        this.graceSteps -= 1;
+        return this.graceSteps < 0;
+    }
+
+    private crossChunks(chunks: Chunk[]): void {
+        const [first, second] = chunks;
+        if (this.faults.crossAnswers && first !== undefined && second !== undefined) {
+            this.faults.crossAnswers = false;
+            [first.event, second.event] = [second.event, first.event];
+        }
+    }
+
+    private emit(chunks: Chunk[]): void {
+        const write = () => {
+            for (const { sequence, event, last } of chunks) {
+                sequence.write(event);
+                if (last) {
+                    sequence.end();
+                }
+            }
+        };
+        if (this.faults.lateMilliseconds > 0) {
+            void this.clock.sleep(this.faults.lateMilliseconds, this.signal).then(write);
+            return;
+        }
+        write();
+    }
+
+    private cutStreams(): void {
+        const limit = this.faults.cutStreamAfterTokens;
+        const position = limit === 0 ? -1 : this.running.findIndex(sequence => sequence.nextIndex >= limit);
+        const sequence = this.running[position];
+        if (sequence !== undefined) {
+            this.faults.cutStreamAfterTokens = 0;
+            this.running.splice(position, 1);
+            sequence.cut();
+        }
+    }
+
+    private removeFinished(): void {
+        for (let position = this.running.length - 1; position >= 0; position -= 1) {
+            if (this.running[position]?.finished === true) {
+                this.running.splice(position, 1);
+                this.counters.completed += 1;
+            }
+        }
+    }
+
+    private warmUp(tokens: number): void {
+        if (!this.cold) {
+            return;
+        }
+        this.tokensWhileCold += tokens;
+        if (this.tokensWhileCold >= this.settings.warmAfterTokens) {
+            this.cold = false;
+        }
+    }
+
+    /** Moves waiting requests into the batch, the most urgent and oldest first. */
+    private startWaiting(): void {
+        while (!this.cold && this.waiting.length > 0 && this.running.length < this.settings.capacity) {
+            this.running.push(...this.takeMostUrgent());
+        }
+    }
+
+    private takeMostUrgent(): Sequence[] {
+        const urgencies = this.waiting.map(sequence => priorities.indexOf(sequence.priority));
+        const position = urgencies.indexOf(Math.min(...urgencies));
+        return this.waiting.splice(position, 1);
+    }
+}
--- /dev/null
+++ b/src/standin/hostList.ts
@@ -0,0 +1,62 @@
+/**
+ * Stand-in for the platform's list of live and leaving hosts, which readers see with a lag and which has outages.
+ */
+import type { Clock, HostRecord } from "../state/types.js";
+import type { StandinApp } from "./httpServer.js";
+
+export type HostListFaults = { outage: boolean; lagMilliseconds: number; };
+
+/** The whole list as it stood from `since` on. */
+type HostListVersion = { version: number; since: number; hosts: HostRecord[]; };
+
+export class HostList {
+    readonly faults: HostListFaults = { outage: false, lagMilliseconds: 0 };
+    private readonly clock: Clock;
+    /** Newest last; older versions than the visible one are dropped. */
+    private versions: HostListVersion[] = [{ version: 0, since: 0, hosts: [] }];
+
+    constructor(clock: Clock) {
+        this.clock = clock;
+    }
+
+    /** Adds the host list's routes to `app`. */
+    addRoutes(app: StandinApp): void {
+        app.get("/hosts", context => {
+            if (this.faults.outage) {
+                return context.json({ error: "the host list is not available" }, 503);
+            }
+            const { version, hosts } = this.visible();
+            return context.json({ version, hosts });
+        });
+        app.put("/hosts/:host", async context => {
+            const host = context.req.param("host");
+            const record = { ...await context.req.json<HostRecord>(), host };
+            return context.json({ version: this.change(host, record) });
+        });
+        app.delete("/hosts/:host", context => context.json({ version: this.change(context.req.param("host")) }));
+    }
+
+    /** Replaces the record of `host`, or removes it, and gives the new version. */
+    change(host: string, record?: HostRecord): number {
+        const newest = this.newest();
+        const others = newest.hosts.filter(other => other.host !== host);
+        const hosts = record === undefined ? others : [...others, record];
+        const version = newest.version + 1;
+        this.versions.push({ version, since: this.clock.now(), hosts });
+        return version;
+    }
+
+    private newest(): HostListVersion {
+        return this.versions[this.versions.length - 1] ?? { version: 0, since: 0, hosts: [] };
+    }
+
+    private visible(): HostListVersion {
+        const horizon = this.clock.now() - this.faults.lagMilliseconds;
+        let position = this.versions.length - 1;
+        while (position > 0 && (this.versions[position]?.since ?? 0) > horizon) {
+            position -= 1;
+        }
+        this.versions = this.versions.slice(position);
+        return this.versions[0] ?? this.newest();
+    }
+}
--- /dev/null
+++ b/src/standin/httpServer.ts
@@ -0,0 +1,50 @@
+/** Starts a hono application on a TCP address; shared by all stand-ins. */
+import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { Hono } from "hono";
+import { once } from "node:events";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A hono application that reaches the connection below a request, to cut it or to write to it directly. */
+export type StandinApp = Hono<{ Bindings: HttpBindings; }>;
+
+export type RunningServer = {
+    /** `ip:port` that the server listens on. */
+    address: string;
+    /** Stops listening and cuts all connections. */
+    close: () => Promise<void>;
+};
+
+export const newApp = (): StandinApp => new Hono<{ Bindings: HttpBindings; }>();
+
+/** Splits `ip:port`. */
+export const splitAddress = (address: string): { hostname: string; port: number; } => {
+    const colon = address.lastIndexOf(":");
+    return { hostname: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+};
+
+/** Serves `app` on `listen` (`ip:port`, port 0 for any free one) until `signal` aborts. */
+export const serveApp = async (app: StandinApp, listen: string, signal: AbortSignal): Promise<RunningServer> => {
+    const { hostname, port } = splitAddress(listen);
+    const server = createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server;
+    server.keepAliveTimeout = 60_000;
+    server.listen(port, hostname);
+    await once(server, "listening");
+    const close = async () => {
+        if (server.listening) {
+            const closed = once(server, "close");
+            server.close();
+            server.closeAllConnections();
+            await closed;
+        }
+    };
+    signal.addEventListener("abort", () => void close());
+    return { address: `${hostname}:${(server.address() as AddressInfo).port}`, close };
+};
+
+/** Cuts the connection of a request without an answer. */
+export const cutConnection = (bindings: HttpBindings): Response => {
+    bindings.incoming.socket.destroy();
+    return RESPONSE_ALREADY_SENT;
+};
--- /dev/null
+++ b/src/standin/modelEngine.ts
@@ -0,0 +1,157 @@
+/**
+ * Stand-in for one group of expert-parallel ranks that run in lock-step, one HTTP port a rank.
+ *
+ * Every step lasts as long as the slowest rank needs. While any rank is down after a crash the whole group waits; when
+ * it joins anew the formation number grows.
+ */
+import type { Clock } from "../state/types.js";
+import { PrefixCache } from "./cacheEvents.js";
+import { EngineRank, type RankSettings } from "./engineRank.js";
+import { addEngineRoutes } from "./engineRoutes.js";
+import { newApp, type RunningServer, serveApp, splitAddress } from "./httpServer.js";
+import { LoadHistory } from "./loadHistory.js";
+import { newOrderDesk, type OrderDesk, type OrderHandler } from "./orders.js";
+
+export type EngineOptions = RankSettings & {
+    /** Address of rank 0; with a port other than 0, rank r listens r ports above. */
+    listen: string;
+    ranks: number;
+    /** Length of a step of a rank at full speed. */
+    stepMilliseconds: number;
+    /** Whether orders with an old fencing number are refused. */
+    checksFence: boolean;
+    /** Starts the engine warm, for runs that are not about cold starts. */
+    startsWarm: boolean;
+    /** Name in incarnations; a new process gives itself a new one. */
+    engineId: string;
+    clock: Clock;
+    signal: AbortSignal;
+};
+
+/** One executed step of one rank. */
+export type StepRecord = { step: number; rank: number; map: number; formation: number; };
+
+/** A rank with all that its routes reach. */
+export type RankSeat = { rank: EngineRank; cache: PrefixCache; loads: LoadHistory; orders: OrderDesk; };
+
+const keptStepRecords = 20_000;
+
+/** The group: its seats, the step counter and the record of executed steps. */
+export class EngineGroup {
+    readonly seats: RankSeat[];
+    /** Grows whenever a rank joins the group anew. */
+    formation = 1;
+    /** Steps executed so far. */
+    step = 0;
+    /** Number of the expert map in use. */
+    map = 0;
+    steps: StepRecord[] = [];
+    private readonly options: EngineOptions;
+
+    constructor(options: EngineOptions) {
+        this.options = options;
+        this.seats = Array.from({ length: options.ranks }, (_, rank) => this.newSeat(rank));
+    }
+
+    /** Runs steps until the signal aborts. */
+    async run(): Promise<void> {
+        const { clock, signal } = this.options;
+        let startedAt = clock.now();
+        while (!signal.aborted) {
+            await this.waitForCrashedRanks();
+            const length = this.takeStepLength();
+            const endsAt = startedAt + length;
+            await clock.sleep(Math.max(0, endsAt - clock.now()), signal);
+            this.executeStep(length);
+            startedAt = Math.max(endsAt, clock.now() - length);
+        }
+    }
+
+    private newSeat(number: number): RankSeat {
+        const { engineId, clock, signal, checksFence, startsWarm } = this.options;
+        const rank = new EngineRank(number, engineId, this.options, clock, signal);
+        rank.cold = !startsWarm;
+        return {
+            rank,
+            cache: new PrefixCache(clock),
+            loads: new LoadHistory(),
+            orders: newOrderDesk(checksFence, orderHandlers),
+        };
+    }
+
+    private async waitForCrashedRanks(): Promise<void> {
+        const { clock, signal } = this.options;
+        for (const { rank, cache } of this.seats) {
+            if (!rank.down) {
+                continue;
+            }
+            await clock.sleep(Math.max(0, rank.downUntil - clock.now()), signal);
+            rank.downUntil = 0;
+            cache.clear();
+            this.formation += 1;
+        }
+    }
+
+    /** The slowest rank sets the length of the step for all. */
+    private takeStepLength(): number {
+        const lengths = this.seats.map(({ rank }) => rank.takeStepLength(this.options.stepMilliseconds));
+        return Math.max(...lengths);
+    }
+
+    private executeStep(length: number): void {
+        this.step += 1;
+        for (const seat of this.seats) {
+            const tokens = seat.rank.running.length;
+            seat.rank.finishStep();
+            this.steps.push({ step: this.step, rank: seat.rank.rank, map: this.map, formation: this.formation });
+            this.sampleLoad(seat, length, tokens);
+        }
+        if (this.steps.length > 2 * keptStepRecords) {
+            this.steps = this.steps.slice(-keptStepRecords);
+        }
+    }
+
+    private sampleLoad({ rank, loads }: RankSeat, length: number, tokens: number): void {
+        loads.add({
+            running: rank.running.length,
+            waiting: rank.waiting.length,
+            tokensPerSecond: tokens / length * 1_000,
+            stepMilliseconds: length,
+            formation: this.formation,
+            incarnation: rank.incarnation,
+            takenAt: this.options.clock.now(),
+        });
+    }
+}
+
+/** Orders that need nothing but an acknowledgement from a stand-in. */
+const orderHandlers: Record<string, OrderHandler> = {
+    "load-model": () => ({ done: true }),
+    "load-adapter": () => ({ done: true }),
+    "change-role": () => ({ done: true }),
+};
+
+export type Engine = {
+    /** `ip:port` of each rank. */
+    addresses: string[];
+    group: EngineGroup;
+    close: () => Promise<void>;
+};
+
+/** Starts a group of ranks and their servers until the signal aborts. */
+export const startEngine = async (options: EngineOptions): Promise<Engine> => {
+    const group = new EngineGroup(options);
+    const { hostname, port } = splitAddress(options.listen);
+    const servers: RunningServer[] = [];
+    for (const seat of group.seats) {
+        const app = newApp();
+        addEngineRoutes(app, group, seat, options.clock);
+        const rankPort = port === 0 ? 0 : port + seat.rank.rank;
+        servers.push(await serveApp(app, `${hostname}:${rankPort}`, options.signal));
+    }
+    void group.run();
+    const close = async () => {
+        await Promise.all(servers.map(server => server.close()));
+    };
+    return { addresses: servers.map(server => server.address), group, close };
+};
--- /dev/null
+++ b/src/standin/platformLog.ts
@@ -0,0 +1,143 @@
+/**
+ * Stand-in for the platform's append-only log, over HTTP.
+ *
+ * Its faults: an outage, appends that take effect while their answer is lost, slow answers, a limit on appends a
+ * second and limited retention. A 503 or 429 means that the record was certainly not taken.
+ */
+import type { Clock } from "../state/types.js";
+import { cutConnection, type StandinApp } from "./httpServer.js";
+import { StreamStore } from "./streamStore.js";
+
+export type LogFaults = {
+    outage: boolean;
+    /** So many of the next appends take effect and then lose their connection. */
+    loseAnswers: number;
+    delayMilliseconds: number;
+    appendsPerSecond: number;
+    /** Records that each stream keeps. */
+    retentionRecords: number;
+};
+
+export const defaultLogFaults: LogFaults = {
+    outage: false,
+    loseAnswers: 0,
+    delayMilliseconds: 0,
+    appendsPerSecond: 500,
+    retentionRecords: 100_000,
+};
+
+export type LogMetrics = { appends: number; refusedAppends: number; reads: number; bytesIn: number; bytesOut: number; };
+
+const defaultReadLimit = 1_000;
+
+export class PlatformLog {
+    readonly faults: LogFaults = { ...defaultLogFaults };
+    readonly metrics: LogMetrics = { appends: 0, refusedAppends: 0, reads: 0, bytesIn: 0, bytesOut: 0 };
+    private readonly streams = new Map<string, StreamStore>();
+    private readonly clock: Clock;
+    private readonly signal: AbortSignal;
+    /** Appends that the rate limit allows now; refills up to a tenth of a second's worth. */
+    private allowance = defaultLogFaults.appendsPerSecond / 10;
+    private refilledAt = 0;
+
+    constructor(clock: Clock, signal: AbortSignal) {
+        this.clock = clock;
+        this.signal = signal;
+    }
+
+    /** Adds the log's routes to `app`. */
+    addRoutes(app: StandinApp): void {
+        app.post("/log/:stream/records", async context => {
+            const text = await context.req.text();
+            await this.delay();
+            if (this.faults.outage) {
+                this.metrics.refusedAppends += 1;
+                return context.json({ error: "the log is not available" }, 503);
+            }
+            if (!this.takeAllowance()) {
+                this.metrics.refusedAppends += 1;
+                return context.json({ error: "too many appends a second" }, 429);
+            }
+            const offset = this.append(context.req.param("stream"), text);
+            if (offset === undefined) {
+                return context.json({ error: "the record is not JSON" }, 400);
+            }
+            if (this.faults.loseAnswers > 0) {
+                this.faults.loseAnswers -= 1;
+                return cutConnection(context.env);
+            }
+            return context.json({ offset });
+        });
+        app.get("/log/:stream/records", async context => {
+            const from = Number(context.req.query("from") ?? 0);
+            const limit = Number(context.req.query("limit") ?? defaultReadLimit);
+            const waitMilliseconds = Number(context.req.query("waitMilliseconds") ?? 0);
+            await this.delay();
+            if (this.faults.outage) {
+                return context.json({ error: "the log is not available" }, 503);
+            }
+            const stream = this.stream(context.req.param("stream"));
+            let slice = stream.read(from, limit);
+            if (slice.records.length === 0 && waitMilliseconds > 0) {
+                await this.waitForAppend(stream, waitMilliseconds, context.req.raw.signal);
+                if (this.faults.outage) {
+                    return context.json({ error: "the log is not available" }, 503);
+                }
+                slice = stream.read(from, limit);
+            }
+            const body = JSON.stringify(slice);
+            this.metrics.reads += 1;
+            this.metrics.bytesOut += body.length;
+            return context.body(body, 200, { "content-type": "application/json" });
+        });
+    }
+
+    private append(name: string, text: string): number | undefined {
+        let body: unknown;
+        try {
+            body = JSON.parse(text);
+        }
+        catch {
+            return undefined;
+        }
+        this.metrics.appends += 1;
+        this.metrics.bytesIn += text.length;
+        return this.stream(name).append(body, this.clock.now(), this.faults.retentionRecords);
+    }
+
+    private stream(name: string): StreamStore {
+        const known = this.streams.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = new StreamStore();
+        this.streams.set(name, created);
+        return created;
+    }
+
+    private async delay(): Promise<void> {
+        if (this.faults.delayMilliseconds > 0) {
+            await this.clock.sleep(this.faults.delayMilliseconds, this.signal);
+        }
+    }
+
+    private async waitForAppend(stream: StreamStore, milliseconds: number, requestSignal: AbortSignal): Promise<void> {
+        const waiting = new AbortController();
+        const signal = AbortSignal.any([waiting.signal, this.signal, requestSignal]);
+        await Promise.race([stream.nextAppend(signal), this.clock.sleep(milliseconds, signal)]);
+        waiting.abort();
+    }
+
+    private takeAllowance(): boolean {
+        const now = this.clock.now();
+        const burst = Math.max(1, this.faults.appendsPerSecond / 10);
+        const refill = (now - this.refilledAt) / 1_000 * this.faults.appendsPerSecond;
+        this.allowance = Math.min(burst, this.allowance + refill);
+        this.refilledAt = now;
+        if (this.allowance < 1) {
+            return false;
+        }
+        this.allowance -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/standin/streamStore.ts
@@ -0,0 +1,52 @@
+/**
+ * The records of one stream of the stand-in log, in memory: append, read with a long poll, and limited retention.
+ */
+import type { LogRecord, LogSlice } from "../state/types.js";
+
+export class StreamStore {
+    private readonly records: LogRecord<unknown>[] = [];
+    private firstOffset = 0;
+    private readonly wakers = new Set<() => void>();
+
+    /** Appends a record and gives its offset; drops the oldest ones above `retentionRecords`. */
+    append(body: unknown, appendedAt: number, retentionRecords: number): number {
+        const offset = this.firstOffset + this.records.length;
+        this.records.push({ offset, appendedAt, body });
+        const surplus = this.records.length - retentionRecords;
+        if (surplus > 0) {
+            this.records.splice(0, surplus);
+            this.firstOffset += surplus;
+        }
+        this.wake();
+        return offset;
+    }
+
+    /** The records from `from` on, at most `limit`. */
+    read(from: number, limit: number): LogSlice<unknown> {
+        const start = Math.max(0, from - this.firstOffset);
+        return {
+            records: this.records.slice(start, start + limit),
+            firstOffset: this.firstOffset,
+            nextOffset: this.firstOffset + this.records.length,
+        };
+    }
+
+    /** Resolves at the next append, or when `signal` aborts. */
+    nextAppend(signal: AbortSignal): Promise<void> {
+        return new Promise(resolve => {
+            const finish = () => {
+                this.wakers.delete(finish);
+                signal.removeEventListener("abort", finish);
+                resolve();
+            };
+            this.wakers.add(finish);
+            signal.addEventListener("abort", finish);
+        });
+    }
+
+    private wake(): void {
+        for (const waker of [...this.wakers]) {
+            waker();
+        }
+    }
+}
