--- /dev/null
+++ b/src/coordination/completionTask.ts
@@ -0,0 +1,105 @@
+/**
+ * The task that serves one completion request at an entry, from the first attempt to the final answer.
+ *
+ * Completions may be repeated, so a failed attempt is followed by another one, on another upstream and from the first
+ * token that the caller lacks. The answer is whole exactly if its tokens came without a gap and the closing frame counts
+ * as many; anything else ends in a refusal, never in an answer that looks whole.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Refusal, refusal } from "../state/errors.js";
+import type { Clock } from "../state/types.js";
+import type { AttemptClient, AttemptFailure, ModelEnd, ModelWork } from "./attempts.js";
+import { trackOutcome } from "./requestOutcome.js";
+import type { UpstreamChooser } from "./upstreamChooser.js";
+
+export type TaskTools = {
+    chooser: UpstreamChooser;
+    attempts: AttemptClient;
+    clock: Clock;
+    newId: () => string;
+    /** Takes one retry from the budget, or says that there is none left. */
+    takeRetry: () => boolean;
+    onAttempt: (event: AttemptEvent) => void;
+};
+
+/** One ended attempt, for logs and metrics. */
+export type AttemptEvent = {
+    requestId: string;
+    clientAccount: string;
+    attempt: string;
+    host: string;
+    outcome: "complete" | AttemptFailure["kind"];
+};
+
+export type TaskLimits = {
+    /** When the caller must have its final answer, by the clock. */
+    deadline: number;
+    maximumRetries: number;
+};
+
+/** Runs `work` and passes each token on once and in order. */
+export const runCompletion = async (
+    tools: TaskTools,
+    work: ModelWork,
+    limits: TaskLimits,
+    onToken: (text: string) => void,
+    signal: AbortSignal,
+): Promise<Result<ModelEnd, Refusal>> => {
+    const outcome = trackOutcome();
+    const avoided = new Set<string>();
+    let received = 0;
+    const interrupted = (): Refusal => outcome.conclude(work.model, refusal("interrupted", [work.model]));
+
+    for (let retries = 0;; retries++) {
+        const timeoutMilliseconds = limits.deadline - tools.clock.now();
+        if (timeoutMilliseconds <= 0) {
+            return err(outcome.mayHaveRun() ? interrupted() : refusal("deadline-passed"));
+        }
+        const choice = tools.chooser.chooseForModel(work, avoided);
+        if (choice.isErr()) {
+            return err(outcome.mayHaveRun() ? interrupted() : choice.error);
+        }
+        const { upstream, finish } = choice.value;
+        const attempt = { ...work, attempt: tools.newId(), resumeFrom: received, timeoutMilliseconds };
+        const takeToken = (index: number, text: string): void => {
+            // A repeated or early index is not the next token of this answer.
+            if (index === received && !signal.aborted) {
+                received++;
+                onToken(text);
+            }
+        };
+        const ended = (await tools.attempts.runModel(upstream, attempt, takeToken, signal)).andThen(end =>
+            checkWhole(end, received)
+        );
+        tools.onAttempt(describeAttempt(work, attempt.attempt, upstream.host, ended));
+        if (ended.isOk()) {
+            finish({ load: ended.value.load });
+            return ok(ended.value);
+        }
+        finish({ failure: ended.error });
+        outcome.record(ended.error);
+        avoided.add(upstream.host);
+        if (signal.aborted || retries >= limits.maximumRetries || !tools.takeRetry()) {
+            return err(interrupted());
+        }
+    }
+};
+
+const checkWhole = (end: ModelEnd, received: number): Result<ModelEnd, AttemptFailure> =>
+    end.tokens === received
+        ? ok(end)
+        : err({ kind: "cut", reason: `the answer has ${received} of ${end.tokens} tokens` });
+
+/** The event for one ended attempt. */
+export const describeAttempt = (
+    work: { requestId: string; clientAccount: string; },
+    attempt: string,
+    host: string,
+    ended: Result<unknown, AttemptFailure>,
+): AttemptEvent => ({
+    requestId: work.requestId,
+    clientAccount: work.clientAccount,
+    attempt,
+    host,
+    outcome: ended.isOk() ? "complete" : ended.error.kind,
+});
--- /dev/null
+++ b/src/protocol/attemptProtocol.ts
@@ -0,0 +1,108 @@
+/**
+ * The data path between an entry and an agent: one HTTP request an attempt.
+ *
+ * `POST /attempts/model` answers with one JSON frame a line: tokens with consecutive indexes, heartbeats while there is
+ * nothing to say, and exactly one closing frame. A stream without a closing frame was cut. `POST /attempts/service`
+ * answers with one JSON object. A refusal has the refusal's own status and an `AgentRefusal` as its body. Frames are
+ * written by hand on the hot path, since a token is the most frequent message of the system.
+ */
+import { z } from "zod";
+import type { ErrorCode } from "../state/errors.js";
+import { errorCodes } from "../state/errors.js";
+
+export const attemptHeader = "cyclamengap-attempt";
+
+/** An agent that has nothing else to send sends a heartbeat this often, in milliseconds. */
+export const heartbeatIntervalMilliseconds = 500;
+
+/** An entry that hears nothing for this long, in milliseconds, gives the attempt up. */
+export const silenceTimeoutMilliseconds = 1_500;
+
+const priority = z.enum(["interactive", "standard", "batch"]);
+
+export const loadReportSchema = z.object({
+    state: z.enum(["cold", "warming", "warm", "draining", "down"]),
+    incarnation: z.string(),
+    running: z.number(),
+    limit: z.number(),
+    outstandingTokens: z.number(),
+    tokensPerSecond: z.number(),
+    takenAt: z.number(),
+});
+
+export const modelAttemptSchema = z.object({
+    attempt: z.string(),
+    requestId: z.string(),
+    clientAccount: z.string(),
+    priority,
+    model: z.string(),
+    prompt: z.string(),
+    maximumTokens: z.int().positive(),
+    digest: z.string(),
+    resumeFrom: z.int().nonnegative(),
+    timeoutMilliseconds: z.number().positive(),
+    alone: z.boolean().optional(),
+});
+
+export const serviceAttemptSchema = z.object({
+    attempt: z.string(),
+    requestId: z.string(),
+    clientAccount: z.string(),
+    priority,
+    service: z.string(),
+    method: z.string(),
+    path: z.string(),
+    contentType: z.string().optional(),
+    body: z.string(),
+    digest: z.string(),
+    idempotencyKey: z.string().optional(),
+    timeoutMilliseconds: z.number().positive(),
+});
+
+/** Body of an answer by which the agent refuses an attempt: it did not run, and it will not. */
+export const agentRefusalSchema = z.object({
+    refusal: z.object({
+        code: z.enum(errorCodes as [ErrorCode, ...ErrorCode[]]),
+        message: z.string(),
+        status: z.int(),
+        outcome: z.enum(["complete", "not-run", "unknown"]),
+        retryAfterSeconds: z.int().optional(),
+    }),
+    load: loadReportSchema.optional(),
+});
+
+export const serviceReplySchema = z.object({
+    attempt: z.string(),
+    answer: z.object({ status: z.int(), contentType: z.string().optional(), body: z.string() }),
+    load: loadReportSchema,
+});
+
+const closingFrame = z.discriminatedUnion("type", [
+    z.object({
+        type: z.literal("end"),
+        attempt: z.string(),
+        tokens: z.int(),
+        finishReason: z.string(),
+        load: loadReportSchema,
+    }),
+    z.object({ type: z.literal("moved"), attempt: z.string(), load: loadReportSchema.optional() }),
+    z.object({ type: z.literal("crashed"), attempt: z.string(), reason: z.string() }),
+    z.object({ type: z.literal("cut"), attempt: z.string(), reason: z.string() }),
+]);
+
+export const frameSchema = z.union([
+    z.object({ type: z.literal("token"), index: z.int(), text: z.string() }),
+    z.object({ type: z.literal("heartbeat") }),
+    closingFrame,
+]);
+
+export type Frame = z.infer<typeof frameSchema>;
+export type ClosingFrame = z.infer<typeof closingFrame>;
+
+/** A token frame as one line; `text` is escaped by JSON. */
+export const tokenLine = (index: number, text: string): string =>
+    `{"type":"token","index":${index},"text":${JSON.stringify(text)}}\n`;
+
+export const heartbeatLine = `{"type":"heartbeat"}\n`;
+
+export const closingLine = (frame: ClosingFrame): string => `${JSON.stringify(frame)}\n`;
--- /dev/null
+++ b/src/protocol/callerRequests.ts
@@ -0,0 +1,120 @@
+/**
+ * The callers' protocol: OpenAI-style completion requests, and the bodies and events that answer them.
+ *
+ * Both `POST /v1/completions` and `POST /v1/chat/completions` become one `CompletionRequest`; a chat's messages are
+ * joined into one prompt in which each message keeps its role.
+ */
+import { z } from "zod";
+import type { Refusal } from "../state/errors.js";
+import type { Outcome } from "../state/types.js";
+
+/** States whether the work took place; on a streamed answer the last event repeats it. */
+export const outcomeHeader = "cyclamengap-outcome";
+
+/** A caller may shorten the time its request may take, in milliseconds. */
+export const timeoutHeader = "cyclamengap-timeout-milliseconds";
+
+const defaultMaximumTokens = 256;
+const largestMaximumTokens = 16_384;
+
+const shared = {
+    model: z.string().min(1),
+    max_tokens: z.int().positive().max(largestMaximumTokens).default(defaultMaximumTokens),
+    stream: z.boolean().default(false),
+};
+
+const textSchema = z.object({ ...shared, prompt: z.string() });
+
+const chatSchema = z.object({
+    ...shared,
+    messages: z.array(z.object({ role: z.string(), content: z.string() })).min(1),
+});
+
+export type CompletionKind = "text" | "chat";
+
+export type CompletionRequest = {
+    kind: CompletionKind;
+    model: string;
+    prompt: string;
+    maximumTokens: number;
+    stream: boolean;
+};
+
+/** One decoder a kind of completion: body of the request to `CompletionRequest`. */
+export const completionSchemas: Record<CompletionKind, z.ZodType<CompletionRequest>> = {
+    text: textSchema.transform(({ model, prompt, max_tokens: maximumTokens, stream }) => ({
+        kind: "text" as const,
+        model,
+        prompt,
+        maximumTokens,
+        stream,
+    })),
+    chat: chatSchema.transform(({ model, messages, max_tokens: maximumTokens, stream }) => ({
+        kind: "chat" as const,
+        model,
+        prompt: messages.map(({ role, content }) => `${role}: ${content}`).join("\n"),
+        maximumTokens,
+        stream,
+    })),
+};
+
+/** Writes the events and bodies of one kind of completion. */
+export type CompletionWriter = {
+    /** Server-sent event for one token. */
+    tokenEvent: (text: string) => string;
+    /** Server-sent events that close a whole answer. */
+    endEvents: (finishReason: string) => string;
+    /** Body of an answer that is not streamed. */
+    wholeBody: (text: string, finishReason: string, tokens: number) => unknown;
+};
+
+const endOfStream = (outcome: Outcome): string => `event: outcome\ndata: {"outcome":"${outcome}"}\n\ndata: [DONE]\n\n`;
+
+const textWriter = (id: string, model: string): CompletionWriter => {
+    const head = `data: {"id":${JSON.stringify(id)},"object":"text_completion","model":${JSON.stringify(model)},`;
+    return {
+        tokenEvent: text => `${head}"choices":[{"index":0,"text":${JSON.stringify(text)},"finish_reason":null}]}\n\n`,
+        endEvents: finishReason =>
+            `${head}"choices":[{"index":0,"text":"","finish_reason":${JSON.stringify(finishReason)}}]}\n\n${
+                endOfStream("complete")
+            }`,
+        wholeBody: (text, finishReason, tokens) => ({
+            id,
+            object: "text_completion",
+            model,
+            choices: [{ index: 0, text, finish_reason: finishReason }],
+            usage: { completion_tokens: tokens },
+        }),
+    };
+};
+
+const chatWriter = (id: string, model: string): CompletionWriter => {
+    const head = `data: {"id":${JSON.stringify(id)},"object":"chat.completion.chunk","model":${JSON.stringify(model)},`;
+    return {
+        tokenEvent: text =>
+            `${head}"choices":[{"index":0,"delta":{"content":${JSON.stringify(text)}},"finish_reason":null}]}\n\n`,
+        endEvents: finishReason =>
+            `${head}"choices":[{"index":0,"delta":{},"finish_reason":${JSON.stringify(finishReason)}}]}\n\n${
+                endOfStream("complete")
+            }`,
+        wholeBody: (text, finishReason, tokens) => ({
+            id,
+            object: "chat.completion",
+            model,
+            choices: [{ index: 0, message: { role: "assistant", content: text }, finish_reason: finishReason }],
+            usage: { completion_tokens: tokens },
+        }),
+    };
+};
+
+export const completionWriters: Record<CompletionKind, (id: string, model: string) => CompletionWriter> = {
+    text: textWriter,
+    chat: chatWriter,
+};
+
+/** Body of every refusal and failure. */
+export const errorBody = ({ code, message, outcome }: Refusal): unknown => ({ error: { code, message, outcome } });
+
+/** Events that close a streamed answer which could not be completed, so that it is never taken for a whole one. */
+export const errorEvents = (failure: Refusal): string =>
+    `event: error\ndata: ${JSON.stringify(errorBody(failure))}\n\n`;
--- a/src/state/errors.ts
+++ b/src/state/errors.ts
@@ -16,6 +16,9 @@
 
 const errorTable = {
     "malformed-body": entry(400, "not-run", reason => `request body is not valid: ${reason}`),
+    "malformed-request": entry(400, "not-run", reason => `request is not valid HTTP: ${reason}`),
+    "request-too-slow": entry(408, "not-run", () => "the request took too long to arrive"),
+    "headers-too-large": entry(431, "not-run", () => "the request's header fields are too large"),
     "unauthenticated": entry(401, "not-run", () => "API key is missing or not known"),
     "unknown-model": entry(404, "not-run", model => `model "${model}" is not served here`),
     "unknown-service": entry(404, "not-run", service => `service "${service}" does not exist`),
@@ -45,6 +48,9 @@
 
 export type ErrorCode = keyof typeof errorTable;
 
+/** Every error code, for the schemas of messages that carry one. */
+export const errorCodes = Object.keys(errorTable) as ErrorCode[];
+
 /** A final refusal or failure of one request. */
 export type Refusal = {
     code: ErrorCode;
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -8,6 +8,9 @@
 /** Whether the work of a request took place, told to the caller in `Cyclamengap-Outcome`. */
 export type Outcome = "complete" | "not-run" | "unknown";
 
+/** How urgent a client account's requests are; also the order in which a queue serves them. */
+export type Priority = "interactive" | "standard" | "batch";
+
 /** Life cycle of an upstream as its agent sees it. */
 export type UpstreamState = "cold" | "warming" | "warm" | "draining" | "down";
 
