--- /dev/null
+++ b/tests/admissionGate.test.ts
@@ -0,0 +1,135 @@
+import { expect } from "chai";
+import { type AdmissionGate, createAdmissionGate, type Permit } from "../src/coordination/admissionGate.js";
+import { virtualClock } from "./support/virtualClock.js";
+
+const settings = { capacity: 16, coldCapacity: 2, stepTimeBoundMilliseconds: 75, warmUpTokens: 100 };
+
+const createGate = () => {
+    const clock = virtualClock();
+    return { clock, gate: createAdmissionGate({ clock, settings: () => settings, incarnation: "first" }) };
+};
+
+const fill = (gate: AdmissionGate, movable = true): Permit[] => {
+    const permits: Permit[] = [];
+    for (;;) {
+        const permit = gate.admit({ tokens: 50, movable });
+        if (permit.isErr()) {
+            return permits;
+        }
+        permits.push(permit.value);
+    }
+};
+
+const complete = (permits: Permit[]) => permits.forEach(permit => permit.finish({ result: "completed", tokens: 50 }));
+
+const warmUp = (gate: AdmissionGate) => {
+    while (gate.load().state !== "warm") {
+        complete(fill(gate));
+    }
+};
+
+const steps = (gate: AdmissionGate, clock: ReturnType<typeof virtualClock>, milliseconds: number, count: number) => {
+    for (let step = 0; step < count; step += 1) {
+        clock.advance(milliseconds);
+        gate.observeStepTime(milliseconds);
+    }
+};
+
+describe("admission gate", () => {
+    it("admits only the cold capacity until enough work has completed", () => {
+        const { gate } = createGate();
+        const permits = fill(gate);
+        expect(permits).to.have.length(2);
+        expect(gate.load()).to.include({ state: "cold", running: 2, limit: 2, outstandingTokens: 100 });
+
+        permits[0]!.finish({ result: "completed", tokens: 50 });
+        expect(gate.load().limit).to.equal(2);
+        permits[1]!.finish({ result: "completed", tokens: 50 });
+        expect(gate.load()).to.include({ state: "warming", running: 0, limit: 3, outstandingTokens: 0 });
+    });
+
+    it("takes no evidence from failed work, nor from work that leaves half of the places empty", () => {
+        const { gate } = createGate();
+        for (const result of ["failed", "cancelled"] as const) {
+            fill(gate).forEach(permit => permit.finish({ result, tokens: 5_000 }));
+        }
+        expect(gate.load().limit).to.equal(2);
+        warmUp(gate);
+        gate.observeIncarnation("second");
+        complete(fill(gate));
+        complete(fill(gate));
+        const { limit } = gate.load();
+        for (let call = 0; call < 20; call += 1) {
+            complete([gate.admit({ tokens: 50, movable: true })._unsafeUnwrap()]);
+        }
+        expect(gate.load().limit).to.equal(limit);
+    });
+
+    it("keeps its limit through one stalled step, which every stream of the rank reports", () => {
+        const { gate, clock } = createGate();
+        warmUp(gate);
+        steps(gate, clock, 20, 3);
+        clock.advance(2_000);
+        for (let stream = 0; stream < 16; stream += 1) {
+            gate.observeStepTime(2_000);
+        }
+        steps(gate, clock, 20, 1);
+        expect(gate.load().limit).to.equal(16);
+    });
+
+    it("halves the limit when the step time rises, and lets running work finish", () => {
+        const { gate, clock } = createGate();
+        warmUp(gate);
+        const permits = fill(gate);
+        steps(gate, clock, 100, 4);
+        expect(gate.load()).to.include({ running: 16, limit: 8 });
+        expect(permits.some(permit => permit.moved.aborted)).to.equal(false);
+        expect(gate.admit()._unsafeUnwrapErr()).to.equal("full");
+    });
+
+    it("moves the newest movable work elsewhere when a warm engine turns cold under full load", () => {
+        const { gate, clock } = createGate();
+        warmUp(gate);
+        const kept = gate.admit({ tokens: 50, movable: false })._unsafeUnwrap();
+        const permits = fill(gate);
+        steps(gate, clock, 400, 3);
+        expect(gate.load()).to.include({ state: "cold", running: 16, limit: 2 });
+        expect(kept.moved.aborted).to.equal(false);
+        expect(permits.map(permit => permit.moved.aborted)).to.deep.equal([false, ...Array(14).fill(true)]);
+
+        permits.slice(1).forEach(permit => permit.finish({ result: "cancelled", tokens: 10 }));
+        complete([kept, permits[0]!]);
+        expect(gate.load()).to.include({ running: 0, limit: 2 });
+    });
+
+    it("starts cold again with a changed incarnation and lets go of what the lost engine ran", () => {
+        const { gate } = createGate();
+        warmUp(gate);
+        const permits = fill(gate);
+        gate.observeIncarnation("second");
+        expect(gate.load()).to.include({ state: "cold", limit: 2, incarnation: "second" });
+        expect(permits.every(permit => permit.moved.aborted)).to.equal(true);
+    });
+
+    it("asks for twice the evidence after a crash during growth", () => {
+        const { gate } = createGate();
+        complete(fill(gate));
+        expect(gate.load().state).to.equal("warming");
+        gate.observeCrash();
+        complete(fill(gate));
+        expect(gate.load().limit).to.equal(2);
+        complete(fill(gate));
+        expect(gate.load().limit).to.be.greaterThan(2);
+    });
+
+    it("refuses new work while draining and starts cold when reopened", () => {
+        const { gate } = createGate();
+        warmUp(gate);
+        const running = gate.admit()._unsafeUnwrap();
+        gate.drain();
+        expect(gate.admit()._unsafeUnwrapErr()).to.equal("draining");
+        expect(running.moved.aborted).to.equal(false);
+        gate.reopen();
+        expect(gate.load()).to.include({ state: "cold", running: 1, limit: 2 });
+    });
+});
