--- /dev/null
+++ b/tests/standins.test.ts
@@ -0,0 +1,148 @@
+import { expect } from "chai";
+import { startEngine } from "../src/standin/modelEngine.js";
+import { startPlainService } from "../src/standin/plainService.js";
+import { startPlatform } from "../src/standin/platform.js";
+import { systemClock as clock } from "../src/standin/systemClock.js";
+import { expectedAnswer } from "../src/standin/tokens.js";
+
+const listen = "127.0.0.1:0";
+
+describe("stand-ins", () => {
+    let stop: AbortController;
+
+    beforeEach(() => {
+        stop = new AbortController();
+    });
+
+    afterEach(() => stop.abort());
+
+    const call = async (address: string, path: string, body?: unknown) => {
+        const init = body === undefined ? {} : { method: "POST", body: JSON.stringify(body) };
+        return fetch(`http://${address}${path}`, { ...init, signal: stop.signal });
+    };
+
+    const callJson = async (address: string, path: string, body?: unknown) =>
+        (await call(address, path, body)).json() as Promise<Record<string, unknown>>;
+
+    const startTestEngine = (overrides: Record<string, unknown> = {}) =>
+        startEngine({
+            listen,
+            ranks: 2,
+            stepMilliseconds: 1,
+            capacity: 8,
+            coldCapacity: 2,
+            warmAfterTokens: 10,
+            coldGraceSteps: 1,
+            restartMilliseconds: 1,
+            checksFence: true,
+            startsWarm: false,
+            engineId: "engine",
+            clock,
+            signal: stop.signal,
+            ...overrides,
+        });
+
+    const complete = async (address: string, request: Record<string, unknown>) => {
+        const response = await call(address, "/v1/completions", { request_id: "r", prompt: "p", ...request });
+        const events = (await response.text()).split("\n\n").filter(event => event !== "");
+        const chunks = events.slice(0, -2).map(event => JSON.parse(event.slice("data: ".length)) as { text: string; });
+        return { last: events.at(-1), text: chunks.map(chunk => chunk.text).join("") };
+    };
+
+    describe("platform log", () => {
+        it("keeps the order of appends and forgets the oldest", async () => {
+            const { address } = await startPlatform({ listen, clock, signal: stop.signal });
+            await call(address, "/faults", { log: { retentionRecords: 2 } });
+            for (const name of ["a", "b", "c"]) {
+                await call(address, "/log/groups%2Fcouncil/records", { name });
+            }
+            const slice = await callJson(address, "/log/groups%2Fcouncil/records?from=0");
+            expect(slice).to.deep.include({ firstOffset: 1, nextOffset: 3 });
+            expect((slice.records as { body: unknown; }[]).map(record => record.body))
+                .to.deep.equal([{ name: "b" }, { name: "c" }]);
+        });
+
+        it("wakes a reader that waits for the next record", async () => {
+            const { address } = await startPlatform({ listen, clock, signal: stop.signal });
+            const reading = callJson(address, "/log/settings/records?from=0&waitMilliseconds=60000");
+            await callJson(address, "/log/settings/records", { name: "a" });
+            expect((await reading).nextOffset).to.equal(1);
+        });
+
+        it("takes an append whose answer it loses, and none during an outage", async () => {
+            const { address, log } = await startPlatform({ listen, clock, signal: stop.signal });
+            await call(address, "/faults", { log: { loseAnswers: 1 } });
+            const lost = await call(address, "/log/settings/records", { name: "a" }).catch(() => "cut");
+            expect(lost).to.equal("cut");
+            await call(address, "/faults", { log: { outage: true } });
+            expect((await call(address, "/log/settings/records", { name: "b" })).status).to.equal(503);
+            expect(log.metrics.appends).to.equal(1);
+        });
+    });
+
+    it("shows a changed host list only after its lag", async () => {
+        const { address, hosts } = await startPlatform({ listen, clock, signal: stop.signal });
+        hosts.change("entry-1", {
+            host: "entry-1",
+            availabilityZone: "z",
+            role: "entry",
+            state: "live",
+            address: listen,
+        });
+        expect(await callJson(address, "/hosts")).to.deep.include({ version: 1 });
+        await call(address, "/faults", { hosts: { lagMilliseconds: 60_000 } });
+        hosts.change("entry-1");
+        expect(await callJson(address, "/hosts")).to.deep.include({ version: 1 });
+    });
+
+    it("counts a run of the plain service whose answer is lost", async () => {
+        const { address, runs } = await startPlainService({ listen, clock, signal: stop.signal });
+        await call(address, "/_faults", { cutAfterRun: 1 });
+        expect(await call(address, "/dispatches", { pallets: 3 }).catch(() => "cut")).to.equal("cut");
+        const answer = await callJson(address, "/dispatches", { pallets: 3 });
+        expect(answer).to.deep.equal({ receipt: 2, path: "/dispatches", echo: { pallets: 3 } });
+        expect(runs).to.have.length(2);
+    });
+
+    describe("model engine", () => {
+        it("generates the expected answer, whole or resumed", async () => {
+            const { addresses: [address = ""] } = await startTestEngine();
+            const whole = await complete(address, { prompt: "budget", max_tokens: 5 });
+            expect(whole).to.deep.equal({ text: expectedAnswer("budget", 5), last: "data: [DONE]" });
+            const rest = await complete(address, { prompt: "budget", max_tokens: 5, resume_from: 3 });
+            expect(expectedAnswer("budget", 3) + rest.text).to.equal(whole.text);
+        });
+
+        it("crashes above its cold capacity, and bears full load once warm", async () => {
+            const { addresses: [address = ""], group } = await startTestEngine();
+            const flood = (count: number) =>
+                Promise.all(Array.from(
+                    { length: count },
+                    (_, index) => complete(address, { request_id: `r${index}`, max_tokens: 20 }).catch(() => "cut"),
+                ));
+            expect(await flood(3)).to.deep.equal(["cut", "cut", "cut"]);
+            expect(group.seats[0]?.rank.counters).to.deep.include({ crashes: 1, admittedAboveColdCapacity: 1 });
+            while (group.seats[0]?.rank.down === true) {
+                await clock.sleep(1, stop.signal);
+            }
+            await complete(address, { max_tokens: 10 });
+            expect(await flood(8)).to.not.include("cut");
+            expect(group.formation).to.equal(2);
+        });
+
+        it("crashes on a request that crashes every upstream", async () => {
+            const { addresses: [address = ""], group } = await startTestEngine();
+            expect(await complete(address, { prompt: "crash-upstream", max_tokens: 2 }).catch(() => "cut")).to.equal(
+                "cut",
+            );
+            expect(group.seats.map(seat => seat.rank.counters.crashes)).to.deep.equal([1, 0]);
+        });
+
+        it("refuses an order with an old fencing number, if it checks", async () => {
+            const { addresses: [address = ""] } = await startTestEngine();
+            const order = (fence: number) => call(address, "/orders", { fence, order: { kind: "load-model" } });
+            const statuses = [(await order(7)).status, (await order(6)).status, (await order(7)).status];
+            expect(statuses).to.deep.equal([200, 409, 200]);
+        });
+    });
+});
