--- /dev/null
+++ b/src/coordination/metrics.ts
@@ -0,0 +1,61 @@
+/**
+ * Counters and latency histograms of one process.
+ *
+ * Histograms are HDR histograms in milliseconds. The text form has one `name value` a line, with the percentiles of each
+ * histogram.
+ */
+import * as hdr from "hdr-histogram-js";
+
+export type Metrics = {
+    count: (name: string, by?: number) => void;
+    /** Records a duration in milliseconds. */
+    observe: (name: string, milliseconds: number) => void;
+    counter: (name: string) => number;
+    text: () => string;
+};
+
+const highestMilliseconds = 3_600_000;
+const significantDigits = 2;
+/** Histograms hold whole microseconds, since latencies inside a process are well below a millisecond. */
+const unitsPerMillisecond = 1_000;
+const percentiles = [50, 95, 99];
+
+export const createMetrics = (): Metrics => {
+    const counters = new Map<string, number>();
+    const histograms = new Map<string, hdr.Histogram>();
+
+    const histogram = (name: string): hdr.Histogram => {
+        const known = histograms.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = hdr.build({
+            highestTrackableValue: highestMilliseconds * unitsPerMillisecond,
+            numberOfSignificantValueDigits: significantDigits,
+        });
+        histograms.set(name, created);
+        return created;
+    };
+
+    const histogramLines = ([name, values]: [string, hdr.Histogram]): string[] => [
+        `${name}_count ${values.totalCount}`,
+        ...percentiles.map(percentile =>
+            `${name}_milliseconds_p${percentile} ${values.getValueAtPercentile(percentile) / unitsPerMillisecond}`
+        ),
+    ];
+
+    return {
+        count: (name, by = 1) => void counters.set(name, (counters.get(name) ?? 0) + by),
+        observe: (name, milliseconds) =>
+            histogram(name).recordValue(
+                Math.max(0, Math.min(highestMilliseconds, milliseconds)) * unitsPerMillisecond,
+            ),
+        counter: name => counters.get(name) ?? 0,
+        text: () =>
+            [
+                ...[...counters].map(([name, value]) => `${name} ${value}`),
+                ...[...histograms].flatMap(histogramLines),
+                "",
+            ].join("\n"),
+    };
+};
--- /dev/null
+++ b/src/transport/engineClient.ts
@@ -0,0 +1,128 @@
+/**
+ * Calls the model engine beside an agent.
+ *
+ * Every chunk of an answer names its request, and a chunk of another request's answer is dropped here: engines have been
+ * seen to cross answers. A connection that breaks in mid-answer counts as a crash of the engine.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Agent, request } from "undici";
+import { z } from "zod";
+import type { ModelAttempt, TokenSink } from "../coordination/attempts.js";
+import type { EngineClient, UpstreamFailure } from "../coordination/upstreamClients.js";
+import { readLines } from "./lines.js";
+
+const connectTimeoutMilliseconds = 500;
+const loadTimeoutMilliseconds = 1_000;
+const okStatus = 200;
+const eventPrefix = "data: ";
+
+const loadSchema = z.object({
+    running: z.number(),
+    waiting: z.number(),
+    tokensPerSecond: z.number(),
+    stepMilliseconds: z.number(),
+    formation: z.number(),
+    incarnation: z.string(),
+    takenAt: z.number(),
+});
+
+type Chunk = { id: string; index: number; text?: string; finish_reason?: string; };
+
+const decodeChunk = (line: string): Chunk | undefined => {
+    if (!line.startsWith(`${eventPrefix}{`)) {
+        return undefined;
+    }
+    try {
+        return JSON.parse(line.slice(eventPrefix.length)) as Chunk;
+    }
+    catch {
+        return undefined;
+    }
+};
+
+const readAnswer = async (
+    body: AsyncIterable<Buffer>,
+    attempt: ModelAttempt,
+    onToken: TokenSink,
+): Promise<Result<{ tokens: number; finishReason: string; }, UpstreamFailure>> => {
+    for await (const line of readLines(body)) {
+        const chunk = decodeChunk(line);
+        if (chunk === undefined || chunk.id !== attempt.attempt) {
+            continue;
+        }
+        if (chunk.finish_reason !== undefined) {
+            return ok({ tokens: chunk.index, finishReason: chunk.finish_reason });
+        }
+        onToken(chunk.index, chunk.text ?? "");
+    }
+    return err({ kind: "cut", reason: "the engine's answer ended early" });
+};
+
+const notSentCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** Classifies a failed call to an upstream; `signal` tells a time-out or a cancel from a crash. */
+export const upstreamFailure = (error: unknown, signal: AbortSignal): UpstreamFailure => {
+    const { code, message } = error as { code?: string; message?: string; };
+    const reason = `${code ?? "error"}: ${message ?? ""}`;
+    if (signal.aborted) {
+        return { kind: "cut", reason };
+    }
+    return { kind: code !== undefined && notSentCodes.has(code) ? "unreachable" : "crashed", reason };
+};
+
+/** A dispatcher for the one upstream of an agent. */
+export const createUpstreamDispatcher = (): Agent =>
+    new Agent({
+        connect: { timeout: connectTimeoutMilliseconds },
+        connections: null,
+        pipelining: 1,
+        bodyTimeout: 0,
+        headersTimeout: 0,
+    });
+
+/** Builds the client of the engine at `address` (`ip:port`). */
+export const createEngineClient = (address: string): EngineClient => {
+    const dispatcher = createUpstreamDispatcher();
+    return {
+        generate: async (attempt, onIncarnation, onToken, signal) => {
+            try {
+                const answer = await request(`http://${address}/v1/completions`, {
+                    method: "POST",
+                    dispatcher,
+                    signal,
+                    headers: { "content-type": "application/json" },
+                    body: JSON.stringify({
+                        request_id: attempt.attempt,
+                        prompt: attempt.prompt,
+                        max_tokens: attempt.maximumTokens,
+                        stream: true,
+                        priority: attempt.priority,
+                        resume_from: attempt.resumeFrom,
+                    }),
+                });
+                onIncarnation(String(answer.headers["x-engine-incarnation"] ?? ""));
+                if (answer.statusCode !== okStatus) {
+                    await answer.body.dump();
+                    return err({ kind: "refused", reason: `the engine answered status ${answer.statusCode}` });
+                }
+                return await readAnswer(answer.body, attempt, onToken);
+            }
+            catch (error) {
+                return err(upstreamFailure(error, signal));
+            }
+        },
+        load: async signal => {
+            const limited = AbortSignal.any([signal, AbortSignal.timeout(loadTimeoutMilliseconds)]);
+            try {
+                const answer = await request(`http://${address}/load`, { dispatcher, signal: limited });
+                const checked = loadSchema.safeParse(await answer.body.json());
+                return checked.success
+                    ? ok(checked.data)
+                    : err({ kind: "refused", reason: "the engine's load report is not valid" });
+            }
+            catch (error) {
+                return err(upstreamFailure(error, signal));
+            }
+        },
+    };
+};
--- /dev/null
+++ b/src/transport/httpServer.ts
@@ -0,0 +1,98 @@
+/**
+ * HTTP listeners: a hono application on an `ip:port`, with typed answers to what is not even a request.
+ *
+ * Header floods, slow senders and malformed requests are answered before they reach the application. A listener closes
+ * gracefully: it takes no new connection and lets the requests in progress finish.
+ */
+import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
+import type { Hono } from "hono";
+import type { Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { errorBody } from "../protocol/callerRequests.js";
+import { type ErrorCode, refusal } from "../state/errors.js";
+
+/** Bindings that give handlers Node's own response, for streams that are written line by line. */
+export type NodeBindings = { Bindings: HttpBindings; };
+
+const headersTimeoutMilliseconds = 5_000;
+const requestTimeoutMilliseconds = 10_000;
+const keepAliveTimeoutMilliseconds = 30_000;
+const largestHeaderBytes = 16_384;
+const openStatus = 200;
+
+const clientErrorCodes: Record<string, ErrorCode> = {
+    "HPE_HEADER_OVERFLOW": "headers-too-large",
+    "ERR_HTTP_REQUEST_TIMEOUT": "request-too-slow",
+};
+
+const answerClientError = (error: Error & { code?: string; }, socket: Socket): void => {
+    if (!socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const { status, ...rest } = refusal(clientErrorCodes[error.code ?? ""] ?? "malformed-request", [error.message]);
+    const body = JSON.stringify(errorBody({ status, ...rest }));
+    socket.end(
+        `HTTP/1.1 ${status} Refused\r\nConnection: close\r\nContent-Type: application/json\r\n`
+            + `Cyclamengap-Outcome: ${rest.outcome}\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
+};
+
+export type Listener = {
+    /** The bound `ip:port`. */
+    address: string;
+    /** Stops accepting; resolves when every request in progress has ended. */
+    close: () => Promise<void>;
+};
+
+/** Listens on `address` (`ip:port`; port 0 lets the system choose). */
+export const listen = async <Environment extends NodeBindings>(
+    application: Hono<Environment>,
+    address: string,
+): Promise<Listener> => {
+    const [ip = "127.0.0.1", port = "0"] = address.split(":");
+    const server = createAdaptorServer({
+        fetch: application.fetch,
+        serverOptions: {
+            maxHeaderSize: largestHeaderBytes,
+            headersTimeout: headersTimeoutMilliseconds,
+            requestTimeout: requestTimeoutMilliseconds,
+            keepAliveTimeout: keepAliveTimeoutMilliseconds,
+            connectionsCheckingInterval: 1_000,
+        },
+    }) as Server;
+    server.on("clientError", answerClientError);
+    server.on("connection", (socket: Socket) => socket.setNoDelay(true));
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(Number(port), ip, resolve);
+    });
+    const bound = server.address() as AddressInfo;
+    return {
+        address: `${bound.address}:${bound.port}`,
+        close: () => closeGracefully(server),
+    };
+};
+
+const closeGracefully = (server: Server): Promise<void> =>
+    new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+    });
+
+/** Starts a streamed answer of status 200 on Node's own response. */
+export const openStream = (response: ServerResponse, headers: Record<string, string>): void => {
+    response.writeHead(openStatus, headers);
+    response.flushHeaders();
+};
+
+/** A signal that aborts when the peer of `response` goes away before the answer has ended. */
+export const peerGoneSignal = (response: ServerResponse): AbortSignal => {
+    const controller = new AbortController();
+    response.once("close", () => {
+        if (!response.writableFinished) {
+            controller.abort();
+        }
+    });
+    return controller.signal;
+};
--- /dev/null
+++ b/src/transport/systemClock.ts
@@ -0,0 +1,22 @@
+/**
+ * The real clock of a daemon.
+ */
+import type { Clock } from "../state/types.js";
+
+export const systemClock: Clock = {
+    now: () => Date.now(),
+    sleep: (milliseconds, signal) =>
+        new Promise(resolve => {
+            if (signal.aborted) {
+                resolve();
+                return;
+            }
+            const finish = (): void => {
+                clearTimeout(timer);
+                signal.removeEventListener("abort", finish);
+                resolve();
+            };
+            const timer = setTimeout(finish, milliseconds);
+            signal.addEventListener("abort", finish);
+        }),
+};
