--- /dev/null
+++ b/src/protocol/decoding.ts
@@ -0,0 +1,69 @@
+/**
+ * Decoding at the edges: text to JSON, JSON with comments to values, values through a zod schema.
+ *
+ * Decoders give `ts-results`; this is the one module that converts them to the `neverthrow` results used elsewhere.
+ */
+import { parseTree, printParseErrorCode } from "jsonc-parser";
+import type { Node, ParseError } from "jsonc-parser";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import tsResults from "ts-results";
+import type { Result as DecodingResult } from "ts-results";
+import type { z } from "zod";
+
+const { Err, Ok } = tsResults;
+
+/** One thing wrong with a decoded value; `path` leads to it from the top, and `expected` says what should stand there. */
+export type DecodingProblem = { path: PropertyKey[]; expected: string; };
+
+/** Why a text or value could not be decoded; never empty. */
+export type DecodingError = { problems: DecodingProblem[]; };
+
+/** A fault in a text of JSON with comments; `position` counts characters from 0. */
+export type SyntaxProblem = { position: number; expected: string; };
+
+const toNeverthrow = <Value, Failure>(result: DecodingResult<Value, Failure>): Result<Value, Failure> =>
+    result.ok ? ok(result.val) : err(result.val);
+
+const parseJson = (text: string): DecodingResult<unknown, DecodingError> =>
+    tsResults.Result.wrap<unknown, Error>(() => JSON.parse(text) as unknown)
+        .mapErr(error => ({ problems: [{ path: [], expected: `JSON (${error.message})` }] }));
+
+const matchSchema = <Value>(schema: z.ZodType<Value>, value: unknown): DecodingResult<Value, DecodingError> => {
+    const parsed = schema.safeParse(value);
+    return parsed.success
+        ? Ok(parsed.data)
+        : Err({ problems: parsed.error.issues.map(issue => ({ path: issue.path, expected: issue.message })) });
+};
+
+const parseCommented = (text: string): DecodingResult<Node, SyntaxProblem[]> => {
+    const errors: ParseError[] = [];
+    const root = parseTree(text, errors, { allowTrailingComma: true });
+    if (errors.length > 0 || root === undefined) {
+        const problems = errors.map(({ error, offset }) => ({
+            position: offset,
+            expected: printParseErrorCode(error),
+        }));
+        return Err(problems.length > 0 ? problems : [{ position: 0, expected: "ValueExpected" }]);
+    }
+    return Ok(root);
+};
+
+/** Checks `value` against `schema`. */
+export const decodeValue = <Value>(schema: z.ZodType<Value>, value: unknown): Result<Value, DecodingError> =>
+    toNeverthrow(matchSchema(schema, value));
+
+/** Parses `text` as JSON. */
+export const decodeJson = (text: string): Result<unknown, DecodingError> => toNeverthrow(parseJson(text));
+
+/** Parses `text` as JSON and checks it against `schema`. */
+export const decodeJsonAs = <Value>(schema: z.ZodType<Value>, text: string): Result<Value, DecodingError> =>
+    toNeverthrow(parseJson(text).andThen(value => matchSchema(schema, value)));
+
+/** Parses `text` as JSON with comments to its syntax tree, whose nodes carry their positions. */
+export const decodeCommentedJson = (text: string): Result<Node, SyntaxProblem[]> => toNeverthrow(parseCommented(text));
+
+/** One line that names every problem, for logs and error bodies. */
+export const describeDecodingError = ({ problems }: DecodingError): string =>
+    problems.map(({ path, expected }) => path.length === 0 ? expected : `"${path.map(String).join(".")}": ${expected}`)
+        .join("; ");
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -49,7 +49,16 @@
 /** The values that a node of the settings tree overrides. */
 export type SettingsNode = Record<string, unknown>;
 
-/** One edit of one node; `base` is the offset of the path's last accepted change, or -1 for a new path. */
+/** A node with its history: `value` is absent when the node has been removed. */
+export type SettingsTreeNode = {
+    value?: SettingsNode;
+    /** Offset of the last accepted change of this path. */
+    offset: number;
+    /** Offset of the last accepted removal of this path, which touched every path below it. */
+    removedAt?: number;
+};
+
+/** One edit of one node; `base` is the offset of the last accepted change that touched it, or -1 for a new path. */
 export type SettingsEdit = {
     path: SettingsPath;
     base: number;
@@ -71,7 +80,7 @@
     kind: "snapshot";
     /** Offset of the last record that the snapshot includes. */
     upToOffset: number;
-    nodes: Record<SettingsPath, { value?: SettingsNode; offset: number; }>;
+    nodes: Record<SettingsPath, SettingsTreeNode>;
 };
 
 export type SettingsRecord = SettingsChange | SettingsSnapshot;
--- /dev/null
+++ b/src/transport/logClient.ts
@@ -0,0 +1,124 @@
+/**
+ * Streams of the platform's append-only log over HTTP.
+ *
+ * An append whose connection was never made, or which the log turned away, is `refused`; one whose answer was lost or
+ * can't be read is `unknown`, since the log may hold the record. The bodies that a read gives are as the stream holds
+ * them: whoever folds them checks them.
+ */
+import { err } from "neverthrow";
+import type { Result } from "neverthrow";
+import { request } from "undici";
+import type { Dispatcher } from "undici";
+import { z } from "zod";
+import type { AppendFailure, LogStream, ReadFailure } from "../coordination/logStream.js";
+import { decodeJsonAs, describeDecodingError } from "../protocol/decoding.js";
+import type { LogSlice } from "../state/types.js";
+
+const defaultTimeoutMilliseconds = 5_000;
+const defaultRecordsPerRead = 512;
+
+const appendAnswer = z.object({ offset: z.int().min(0) });
+
+const readAnswer = z.object({
+    records: z.array(z.object({ offset: z.int().min(0), appendedAt: z.number(), body: z.unknown() })),
+    firstOffset: z.int().min(0),
+    nextOffset: z.int().min(0),
+});
+
+// Statuses with which the log says that it did not take the record.
+const isCertainRefusal = (status: number): boolean => status === 429 || status === 503 || status >= 400 && status < 500;
+
+// Errors of a connection that was never made, so that nothing was sent.
+const unsentErrorCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+const errorCode = (error: unknown): string =>
+    typeof error === "object" && error !== null && "code" in error ? String(error.code) : "";
+
+const messageOf = (error: unknown): string => error instanceof Error ? error.message || error.name : String(error);
+
+export type LogClientOptions = {
+    /** Base URL of the platform, `http://ip:port`. */
+    platform: string;
+    /** Name of the stream; may contain "/". */
+    stream: string;
+    /** How long an append, or a read beyond its wait, may take. */
+    timeoutMilliseconds?: number;
+    /** The most records that one read gives. */
+    recordsPerRead?: number;
+    dispatcher?: Dispatcher;
+};
+
+type Answer = { status: number; text: string; };
+
+/** Opens `stream` of the log at `platform`; nothing is sent before the first append or read. */
+export const createLogClient = <Body>(options: LogClientOptions): LogStream<Body> => {
+    const { platform, stream, timeoutMilliseconds = defaultTimeoutMilliseconds } = options;
+    const { recordsPerRead = defaultRecordsPerRead, dispatcher } = options;
+    const url = `${platform}/log/${encodeURIComponent(stream)}/records`;
+
+    const exchange = async (
+        target: string,
+        parameters: object,
+        timeout: number,
+        signal: AbortSignal,
+    ): Promise<Answer> => {
+        const response = await request(target, {
+            ...parameters,
+            ...(dispatcher === undefined ? {} : { dispatcher }),
+            signal: AbortSignal.any([signal, AbortSignal.timeout(timeout)]),
+        });
+        return { status: response.statusCode, text: await response.body.text() };
+    };
+
+    const append = async (body: Body, signal: AbortSignal): Promise<Result<number, AppendFailure>> => {
+        if (signal.aborted) {
+            return err({ kind: "refused", reason: "the append was given up before it was sent" });
+        }
+        const parameters = {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(body),
+        };
+        try {
+            const { status, text } = await exchange(url, parameters, timeoutMilliseconds, signal);
+            if (status !== 200) {
+                const kind = isCertainRefusal(status) ? "refused" : "unknown";
+                return err({ kind, reason: `log stream "${stream}" answered ${status}: ${text.slice(0, 200)}` });
+            }
+            return decodeJsonAs(appendAnswer, text)
+                .map(({ offset }) => offset)
+                .mapErr(error => ({ kind: "unknown", reason: describeDecodingError(error) }));
+        }
+        catch (error) {
+            const kind = unsentErrorCodes.has(errorCode(error)) ? "refused" : "unknown";
+            return err({ kind, reason: `log stream "${stream}": ${messageOf(error)}` });
+        }
+    };
+
+    const read = async (
+        fromOffset: number,
+        waitMilliseconds: number,
+        signal: AbortSignal,
+    ): Promise<Result<LogSlice<Body>, ReadFailure>> => {
+        const query = new URLSearchParams({
+            from: String(fromOffset),
+            limit: String(recordsPerRead),
+            waitMilliseconds: String(waitMilliseconds),
+        });
+        try {
+            const timeout = waitMilliseconds + timeoutMilliseconds;
+            const { status, text } = await exchange(`${url}?${query.toString()}`, { method: "GET" }, timeout, signal);
+            if (status !== 200) {
+                return err({ kind: "unavailable", reason: `log stream "${stream}" answered ${status}` });
+            }
+            return decodeJsonAs(readAnswer, text)
+                .map(slice => slice as LogSlice<Body>)
+                .mapErr(error => ({ kind: "unavailable", reason: describeDecodingError(error) }));
+        }
+        catch (error) {
+            return err({ kind: "unavailable", reason: `log stream "${stream}": ${messageOf(error)}` });
+        }
+    };
+
+    return { name: stream, append, read };
+};
