--- a/src/programs/standin.ts
+++ b/src/programs/standin.ts
@@ -9,7 +9,7 @@
 import { startEngine } from "../standin/modelEngine.js";
 import { startPlainService } from "../standin/plainService.js";
 import { startPlatform } from "../standin/platform.js";
-import { systemClock as clock } from "../standin/systemClock.js";
+import { systemClock as clock } from "../transport/systemClock.js";
 
 const listen = { type: "string", default: "127.0.0.1:0", description: "address, ip:port" } as const;
 
--- a/src/standin/modelEngine.ts
+++ b/src/standin/modelEngine.ts
@@ -50,7 +50,7 @@
 
     constructor(options: EngineOptions) {
         this.options = options;
-        this.seats = Array.from({ length: options.ranks }, (_, rank) => this.newSeat(rank));
+        this.seats = [...Array(options.ranks).keys()].map(rank => this.newSeat(rank));
     }
 
     /** Runs steps until the signal aborts. */
--- a/src/standin/tokens.ts
+++ b/src/standin/tokens.ts
@@ -29,5 +29,5 @@
 /** The whole answer to `prompt`. */
 export const expectedAnswer = (prompt: string, tokens: number): string => {
     const token = tokensOf(prompt);
-    return Array.from({ length: tokens }, (_, index) => token(index)).join("");
+    return [...Array(tokens).keys()].map(token).join("");
 };
--- a/tests/standins.test.ts
+++ b/tests/standins.test.ts
@@ -2,8 +2,9 @@
 import { startEngine } from "../src/standin/modelEngine.js";
 import { startPlainService } from "../src/standin/plainService.js";
 import { startPlatform } from "../src/standin/platform.js";
-import { systemClock as clock } from "../src/standin/systemClock.js";
 import { expectedAnswer } from "../src/standin/tokens.js";
+import { systemClock as clock } from "../src/transport/systemClock.js";
+import { virtualClock } from "./support/virtualClock.js";
 
 const listen = "127.0.0.1:0";
 
@@ -114,18 +115,31 @@
         });
 
         it("crashes above its cold capacity, and bears full load once warm", async () => {
-            const { addresses: [address = ""], group } = await startTestEngine();
-            const flood = (count: number) =>
-                Promise.all(Array.from(
-                    { length: count },
-                    (_, index) => complete(address, { request_id: `r${index}`, max_tokens: 20 }).catch(() => "cut"),
-                ));
+            const virtual = virtualClock();
+            const { addresses: [address = ""], group } = await startTestEngine({ clock: virtual });
+            const flood = async (count: number) => {
+                const requests = [...Array(count).keys()].map(index => ({ request_id: `r${index}`, max_tokens: 20 }));
+                const answers = requests.map(request => complete(address, request).catch(() => "cut"));
+                let open = true;
+                const all = Promise.all(answers).finally(() => open = false);
+                while (open) {
+                    await new Promise(setImmediate);
+                    if (group.seats[0]?.rank.counters.admitted === expectedAdmissions) {
+                        virtual.advance(1);
+                    }
+                }
+                return all;
+            };
+            let expectedAdmissions = 3;
             expect(await flood(3)).to.deep.equal(["cut", "cut", "cut"]);
             expect(group.seats[0]?.rank.counters).to.deep.include({ crashes: 1, admittedAboveColdCapacity: 1 });
             while (group.seats[0]?.rank.down === true) {
-                await clock.sleep(1, stop.signal);
+                await new Promise(setImmediate);
+                virtual.advance(1);
             }
-            await complete(address, { max_tokens: 10 });
+            expectedAdmissions = 4;
+            await flood(1);
+            expectedAdmissions = 12;
             expect(await flood(8)).to.not.include("cut");
             expect(group.formation).to.equal(2);
         });
