--- /dev/null
+++ b/src/bench/completionLoad.ts
@@ -0,0 +1,178 @@
+/**
+ * An open-loop load of streamed completions and what its callers saw, over all and second by second.
+ */
+import { performance } from "node:perf_hooks";
+import { systemClock } from "../transport/systemClock.js";
+import { callCompletion, type CompletionResult, type CompletionTarget, newDispatcher } from "./completionCaller.js";
+import type { ExperimentOptions, ExperimentTools } from "./experiment.js";
+import { Counts, Latency } from "./measures.js";
+import { runOpenLoop } from "./openLoop.js";
+import { poissonArrivals } from "./randomNumbers.js";
+import type { ReportRow } from "./report.js";
+import type { ChartSeries } from "./svgChart.js";
+
+/** What the callers of one path saw. */
+export class PathMeasures {
+    readonly name: string;
+    readonly firstToken = new Latency();
+    readonly wholeAnswer = new Latency();
+    readonly longestGap = new Latency();
+    readonly ends = new Counts();
+    readonly outcomes = new Counts();
+    tokens = 0;
+    private readonly firstTokenBySecond: Latency[] = [];
+    private readonly failuresBySecond: number[] = [];
+    private readonly tokensBySecond: number[] = [];
+
+    constructor(name: string) {
+        this.name = name;
+    }
+
+    /** Takes one result; times count from the planned start, seconds from `runStartedAt`. */
+    take(result: CompletionResult, plannedAt: number, runStartedAt: number): void {
+        const second = Math.floor((plannedAt - runStartedAt) / 1_000);
+        this.ends.add(result.end);
+        this.tokens += result.tokens;
+        if (result.firstTokenAt !== undefined) {
+            this.firstToken.record(result.firstTokenAt - plannedAt);
+            this.secondLatency(second).record(result.firstTokenAt - plannedAt);
+        }
+        if (result.end === "whole") {
+            this.wholeAnswer.record(result.endedAt - plannedAt);
+            this.longestGap.record(result.longestGap);
+            return;
+        }
+        this.outcomes.add(result.outcome);
+        this.failuresBySecond[second] = (this.failuresBySecond[second] ?? 0) + 1;
+    }
+
+    /** Counts a token that arrived `milliseconds` after the start of the run. */
+    countToken(milliseconds: number): void {
+        const second = Math.floor(milliseconds / 1_000);
+        this.tokensBySecond[second] = (this.tokensBySecond[second] ?? 0) + 1;
+    }
+
+    /** Median of the tokens a second between seconds `from` and `to`. */
+    steadyTokensPerSecond(from: number, to: number): number {
+        const counts = [...this.tokensBySecond].slice(from, to).map(count => count ?? 0).sort((a, b) => a - b);
+        return counts[Math.floor(counts.length / 2)] ?? 0;
+    }
+
+    /** Tokens that arrived in each second. */
+    tokenSeries(): ChartSeries {
+        return { name: this.name, points: [...this.tokensBySecond].map((count, second) => [second, count ?? 0]) };
+    }
+
+    /** 95th percentile of the first token for each second, in milliseconds. */
+    firstTokenSeries(): ChartSeries {
+        const points = [...this.firstTokenBySecond.entries()].map(([second, latency]) =>
+            [second, latency.summary().count === 0 ? 0 : latency.percentile(95)] as const
+        );
+        return { name: `${this.name} p95`, points };
+    }
+
+    /** Calls without a whole answer for each second. */
+    failureSeries(): ChartSeries {
+        const points = [...this.firstTokenBySecond.keys()].map(second =>
+            [second, this.failuresBySecond[second] ?? 0] as const
+        );
+        return { name: `${this.name} failed`, points };
+    }
+
+    /** Greatest 95th percentile of the first token over all seconds from `from` on, in milliseconds. */
+    worstSecond(from = 0): number {
+        return Math.max(0, ...this.firstTokenSeries().points.filter(([second]) => second >= from).map(([, y]) => y));
+    }
+
+    /** Calls that did not end with the whole answer. */
+    get failed(): number {
+        return this.ends.of("refused") + this.ends.of("broken") + this.ends.of("wrong");
+    }
+
+    rows(seconds: number): ReportRow[] {
+        const firstToken = this.firstToken.summary();
+        const whole = this.wholeAnswer.summary();
+        const gap = this.longestGap.summary();
+        const row = (name: string, value: number, unit: string): ReportRow => ({
+            name: `${this.name}: ${name}`,
+            value,
+            unit,
+        });
+        return [
+            row("whole answers", this.ends.of("whole"), "calls"),
+            row("refused", this.ends.of("refused"), "calls"),
+            row("broken", this.ends.of("broken"), "calls"),
+            row("wrong", this.ends.of("wrong"), "calls"),
+            ...Object.entries(this.outcomes.toObject()).map(([name, count]) => row(`ended ${name}`, count, "calls")),
+            row("first token p50", firstToken.p50, "ms"),
+            row("first token p95", firstToken.p95, "ms"),
+            row("first token p99", firstToken.p99, "ms"),
+            row("whole answer p50", whole.p50, "ms"),
+            row("whole answer p99", whole.p99, "ms"),
+            row("longest gap between tokens p95", gap.p95, "ms"),
+            row("longest gap between tokens p99", gap.p99, "ms"),
+            row("tokens over the whole run", this.tokens / seconds, "tokens/s"),
+        ];
+    }
+
+    private secondLatency(second: number): Latency {
+        for (let index = this.firstTokenBySecond.length; index <= second; index += 1) {
+            this.firstTokenBySecond.push(new Latency());
+        }
+        return this.firstTokenBySecond[second] ?? new Latency();
+    }
+}
+
+/** One path of the load: its share of the arrivals and the targets that take turns. */
+export type LoadPath = { measures: PathMeasures; share: number; targets: CompletionTarget[]; };
+
+/** Targets through every entry of the deployment, with its first client account. */
+export const entryTargets = ({ deployment }: ExperimentTools): CompletionTarget[] => {
+    const key = deployment.clientAccounts[0]?.key ?? "";
+    return deployment.entries.map(({ address }) => ({ kind: "entry", address, key, model: deployment.model }));
+};
+
+/** Targets straight at every rank of the deployment. */
+export const engineTargets = ({ deployment }: ExperimentTools): CompletionTarget[] =>
+    deployment.engines.flatMap(engine => engine.addresses.map(address => ({ kind: "engine" as const, address })));
+
+/** Runs the load; each arrival goes by chance to one of the paths. Gives the run's length with the last answers. */
+export const runCompletionLoad = async (
+    tools: ExperimentTools,
+    options: ExperimentOptions,
+    paths: LoadPath[],
+): Promise<number> => {
+    const { random, newId, signal } = tools;
+    const arrivals = poissonArrivals(options.ratePerSecond, options.seconds, random);
+    const totalShare = paths.reduce((sum, path) => sum + path.share, 0);
+    const plan = arrivals.map(() => ({ path: choosePath(paths, random() * totalShare), prompt: random() }));
+    const dispatcher = newDispatcher();
+    const startedAt = performance.now();
+    await runOpenLoop(
+        arrivals,
+        async (plannedAt, index) => {
+            const { path, prompt } = plan[index] ?? { path: undefined, prompt: 0 };
+            const target = path?.targets[index % path.targets.length];
+            if (path === undefined || target === undefined) {
+                return;
+            }
+            const call = { requestId: newId(), prompt: `budget table ${prompt}`, maximumTokens: options.tokens };
+            const { measures } = path;
+            const onToken = (now: number) => measures.countToken(now - startedAt);
+            measures.take(await callCompletion(target, call, dispatcher, signal, onToken), plannedAt, startedAt);
+        },
+        systemClock,
+        signal,
+    );
+    const seconds = (performance.now() - startedAt) / 1_000;
+    await dispatcher.destroy();
+    return seconds;
+};
+
+const choosePath = (paths: LoadPath[], point: number): LoadPath | undefined => {
+    let reached = 0;
+    return paths.find(path => {
+        reached += path.share;
+        return point < reached;
+    });
+};
--- /dev/null
+++ b/src/bench/controls.ts
@@ -0,0 +1,93 @@
+/**
+ * What the bench does to a deployment beside its load: faults of the stand-ins, changes of the settings, readings.
+ */
+import { request } from "undici";
+import { editFrom, foldSettingsRecords } from "../state/settingsFold.js";
+import { emptySettings } from "../state/settingsTree.js";
+import type { SettingsNode, SettingsPath, SettingsRecord } from "../state/types.js";
+import { createLogClient } from "../transport/logClient.js";
+import type { Deployment } from "./deployment.js";
+
+/** Counters of one rank, as the stand-in engine reports them. */
+export type RankReading = {
+    rank: number;
+    running: number;
+    cold: boolean;
+    admitted: number;
+    admittedAboveColdCapacity: number;
+    crashes: number;
+    generatedTokens: number;
+    lastAdmittedAt: number;
+};
+
+const call = async (address: string, path: string, body?: unknown): Promise<unknown> => {
+    const answer = await request(`http://${address}${path}`, {
+        method: body === undefined ? "GET" : "POST",
+        headers: { "content-type": "application/json" },
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+    });
+    return answer.body.json();
+};
+
+/** Switches faults of a stand-in. */
+export const setFaults = async (address: string, faults: unknown, path = "/faults"): Promise<void> => {
+    await call(address, path, faults);
+};
+
+/** Reads the counters of all ranks of the engine that `address` belongs to. */
+export const readRanks = async (address: string): Promise<RankReading[]> => {
+    const { ranks } = await call(address, `/record?from=${Number.MAX_SAFE_INTEGER}`) as { ranks: RankReading[]; };
+    return ranks;
+};
+
+/** The counters of the ranks of several engines in one list. */
+export const readAllRanks = async (engines: Deployment["engines"]): Promise<RankReading[]> => {
+    const readings = await Promise.all(engines.map(engine => readRanks(engine.addresses[0] ?? "")));
+    return readings.flat();
+};
+
+/** Runs that a stand-in service has recorded. */
+export const readRuns = async (address: string): Promise<{ idempotencyKey?: string; at: number; }[]> =>
+    await call(address, "/_runs") as { idempotencyKey?: string; at: number; }[];
+
+/** Appends and bytes that the stand-in log has taken and given. */
+export const readLogMetrics = async (
+    platform: string,
+): Promise<{ appends: number; reads: number; bytesIn: number; bytesOut: number; }> =>
+    await call(platform, "/metrics") as { appends: number; reads: number; bytesIn: number; bytesOut: number; };
+
+/** The dump of one daemon's state. */
+export const readDump = async (address: string, operatorToken: string): Promise<unknown> => {
+    const answer = await request(`http://${address}/state`, {
+        headers: { authorization: `Bearer ${operatorToken}` },
+    });
+    return answer.body.json();
+};
+
+/**
+ * Sets the node at `path` by a change made from the newest revision; gives the change's offset, or `undefined` when the
+ * log did not take it.
+ */
+export const changeSettings = async (
+    platform: string,
+    path: SettingsPath,
+    value: SettingsNode,
+    id: string,
+    signal: AbortSignal,
+): Promise<number | undefined> => {
+    const stream = createLogClient<SettingsRecord>({ platform: `http://${platform}`, stream: "settings" });
+    let state = emptySettings;
+    for (;;) {
+        const slice = await stream.read(state.offset + 1, 0, signal);
+        if (slice.isErr()) {
+            return undefined;
+        }
+        if (slice.value.records.length === 0) {
+            break;
+        }
+        state = foldSettingsRecords(state, slice.value.records).state;
+    }
+    const edits = [editFrom(state, path, value)];
+    const appended = await stream.append({ kind: "change", id, author: "bench", comment: "bench", edits }, signal);
+    return appended.isOk() ? appended.value : undefined;
+};
--- /dev/null
+++ b/src/bench/experiment.ts
@@ -0,0 +1,24 @@
+/** What every experiment of the bench is given and gives back. */
+import type { RandomNumber } from "../state/types.js";
+import type { Deployment } from "./deployment.js";
+import type { ReportRow } from "./report.js";
+import type { Chart } from "./svgChart.js";
+
+export type ExperimentTools = {
+    deployment: Deployment;
+    random: RandomNumber;
+    newId: () => string;
+    signal: AbortSignal;
+};
+
+export type ExperimentOptions = {
+    /** Requests a second that callers plan. */
+    ratePerSecond: number;
+    seconds: number;
+    /** Tokens of one answer. */
+    tokens: number;
+};
+
+export type ExperimentResult = { rows: ReportRow[]; charts: Chart[]; };
+
+export type Experiment = (tools: ExperimentTools, options: ExperimentOptions) => Promise<ExperimentResult>;
--- /dev/null
+++ b/src/bench/measures.ts
@@ -0,0 +1,57 @@
+/**
+ * What one run measures: latencies as HDR histograms in microseconds, and counts by name.
+ */
+import * as hdr from "hdr-histogram-js";
+
+/** Percentiles of one latency, in milliseconds. */
+export type LatencySummary = { count: number; p50: number; p95: number; p99: number; max: number; mean: number; };
+
+const microsecondsPerMillisecond = 1_000;
+const highestMicroseconds = 600_000_000;
+
+export class Latency {
+    private readonly histogram = hdr.build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: highestMicroseconds,
+        numberOfSignificantValueDigits: 3,
+        useWebAssembly: false,
+    });
+
+    /** Records one latency in milliseconds. */
+    record(milliseconds: number): void {
+        const microseconds = Math.round(milliseconds * microsecondsPerMillisecond);
+        this.histogram.recordValue(Math.min(highestMicroseconds, Math.max(1, microseconds)));
+    }
+
+    percentile(percent: number): number {
+        return this.histogram.getValueAtPercentile(percent) / microsecondsPerMillisecond;
+    }
+
+    summary(): LatencySummary {
+        return {
+            count: this.histogram.totalCount,
+            p50: this.percentile(50),
+            p95: this.percentile(95),
+            p99: this.percentile(99),
+            max: this.histogram.maxValue / microsecondsPerMillisecond,
+            mean: this.histogram.mean / microsecondsPerMillisecond,
+        };
+    }
+}
+
+/** Counts events by name. */
+export class Counts {
+    private readonly counts = new Map<string, number>();
+
+    add(name: string, count = 1): void {
+        this.counts.set(name, this.of(name) + count);
+    }
+
+    of(name: string): number {
+        return this.counts.get(name) ?? 0;
+    }
+
+    toObject(): Record<string, number> {
+        return Object.fromEntries([...this.counts].sort());
+    }
+}
--- /dev/null
+++ b/src/bench/randomNumbers.ts
@@ -0,0 +1,25 @@
+/** Seeded random numbers, so that a run can be repeated with the same plan. */
+import type { RandomNumber } from "../state/types.js";
+
+/** The mulberry32 generator: uniform numbers in [0, 1) that depend on `seed` alone. */
+export const seededRandom = (seed: number): RandomNumber => {
+    let state = seed >>> 0;
+    return () => {
+        state = (state + 0x6d2b79f5) >>> 0;
+        let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+        mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+        return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+    };
+};
+
+/** Start times in milliseconds of a Poisson arrival process of `perSecond` over `seconds`. */
+export const poissonArrivals = (perSecond: number, seconds: number, random: RandomNumber): number[] => {
+    const arrivals: number[] = [];
+    const meanInterval = 1_000 / perSecond;
+    let time = -Math.log(1 - random()) * meanInterval;
+    while (time < seconds * 1_000) {
+        arrivals.push(time);
+        time -= Math.log(1 - random()) * meanInterval;
+    }
+    return arrivals;
+};
--- /dev/null
+++ b/src/programs/bench.ts
@@ -0,0 +1,102 @@
+#!/usr/bin/env node
+/**
+ * `cyclamengap-bench`: experiments on a running deployment, each with a table, JSON and SVG charts.
+ *
+ * A script starts the deployment and writes its description; this program only calls it. It exits with 1 when a target
+ * was missed and with 2 when it could not run.
+ */
+import { type CommandDef, defineCommand, runMain } from "citty";
+import { v7 as newId } from "uuid";
+import { claimsExperiment } from "../bench/claimsExperiment.js";
+import { coldStartExperiment } from "../bench/coldStartExperiment.js";
+import { readDeployment } from "../bench/deployment.js";
+import type { Experiment } from "../bench/experiment.js";
+import { loadExperiment } from "../bench/loadExperiment.js";
+import { seededRandom } from "../bench/randomNumbers.js";
+import { identifyRun, meetsTarget, publishReport } from "../bench/report.js";
+import { settingsExperiment } from "../bench/settingsExperiment.js";
+import { zoneExperiment } from "../bench/zoneExperiment.js";
+
+const sharedArguments = {
+    "deployment": { type: "string", required: true, description: "file that describes the deployment" },
+    "seed": { type: "string", default: "1" },
+    "rate": { type: "string", default: "100", description: "planned requests a second" },
+    "seconds": { type: "string", default: "20" },
+    "tokens": { type: "string", default: "32", description: "tokens of one answer" },
+    "output": { type: "string", description: "directory for the JSON and SVG files" },
+    "compare": { type: "string", description: "JSON file of an earlier run" },
+    "commit": { type: "string", default: process.env["CYCLAMENGAP_COMMIT"] ?? "unknown" },
+    "name": { type: "string", description: "name of the output files" },
+} as const;
+
+type SharedValues = { [Name in keyof typeof sharedArguments]?: string | undefined; };
+
+const missedTargetStatus = 1;
+const cannotRunStatus = 2;
+
+/** Runs `experiment` by the values of the command line and publishes its report. */
+const runExperiment = async (name: string, experiment: Experiment, values: SharedValues): Promise<void> => {
+    const deployment = await readDeployment(values.deployment ?? "");
+    if (deployment.isErr()) {
+        process.stderr.write(`${deployment.error}\n`);
+        process.exitCode = cannotRunStatus;
+        return;
+    }
+    const seed = Number(values.seed);
+    const options = {
+        ratePerSecond: Number(values.rate),
+        seconds: Number(values.seconds),
+        tokens: Number(values.tokens),
+    };
+    const { entries, agents, engines } = deployment.value;
+    const size = { entries: entries.length, agents: agents.length, groups: engines.length };
+    const run = identifyRun(values.name ?? name, seed, values.commit ?? "unknown", { ...options, ...size });
+    const stop = new AbortController();
+    process.once("SIGINT", () => stop.abort());
+    const tools = {
+        deployment: deployment.value,
+        random: seededRandom(seed),
+        newId: () => newId(),
+        signal: stop.signal,
+    };
+    const { rows, charts } = await experiment(tools, options);
+    await publishReport({ run, rows, charts }, values.output, values.compare);
+    process.exitCode = rows.every(meetsTarget) ? 0 : missedTargetStatus;
+};
+
+const commandFor = (name: string, description: string, experiment: Experiment): CommandDef =>
+    defineCommand({
+        meta: { name, description },
+        args: sharedArguments,
+        run: ({ args }) => runExperiment(name, experiment, args),
+    }) as CommandDef;
+
+const load = defineCommand({
+    meta: { name: "load", description: "streamed completions through the entries beside direct calls" },
+    args: {
+        ...sharedArguments,
+        "direct-share": { type: "string", default: "1", description: "direct calls for each call through an entry" },
+        "least-tokens": { type: "string", description: "tokens a second that must be relayed" },
+    },
+    run: ({ args }) => {
+        const least = args["least-tokens"];
+        const experiment = loadExperiment(
+            Number(args["direct-share"]),
+            least === undefined ? undefined : Number(least),
+        );
+        return runExperiment("load", experiment, args);
+    },
+});
+
+const main = defineCommand({
+    meta: { name: "cyclamengap-bench", description: "load and experiments on a running deployment" },
+    subCommands: {
+        load: load as CommandDef,
+        "zone": commandFor("zone", "an availability zone leaves and returns under load", zoneExperiment),
+        "cold-start": commandFor("cold-start", "cold engines with and without the gate", coldStartExperiment),
+        "claims": commandFor("claims", "non-idempotent calls with lost answers and resends", claimsExperiment),
+        "settings": commandFor("settings", "time until changes are in force everywhere", settingsExperiment),
+    },
+});
+
+await runMain(main);
--- a/src/standin/engineRank.ts
+++ b/src/standin/engineRank.ts
@@ -44,6 +44,8 @@
     completed: number;
     cancelled: number;
     generatedTokens: number;
+    /** Time of the last admission, 0 before the first. */
+    lastAdmittedAt: number;
 };
 
 /** One token on its way to a caller. */
@@ -68,6 +70,7 @@
         completed: 0,
         cancelled: 0,
         generatedTokens: 0,
+        lastAdmittedAt: 0,
     };
     readonly rank: number;
     readonly settings: RankSettings;
@@ -103,6 +106,7 @@
     /** Takes a request in, or crashes if the rank is cold and already bears all that it can. */
     admit(sequence: Sequence): void {
         this.counters.admitted += 1;
+        this.counters.lastAdmittedAt = this.clock.now();
         if (this.cold) {
             this.counters.admittedWhileCold += 1;
             this.running.push(sequence);
