--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,14 +3,16 @@
 // Layers in import order: a module imports only from its own layer and from those to its right.
 const layers = ["programs", "transport", "protocol", "coordination", "state"];
 
-const layerRules = layers.map((layer, position) => ({
+// The programs are leftmost, so no layer is closed to them.
+const layerRules = layers.slice(1).map((layer, position) => ({
     files: [`src/${layer}/**/*.ts`],
     rules: {
         "no-restricted-imports": ["error", {
             patterns: [{
                 group: [
-                    ...layers.slice(0, position).map(left => `**/${left}/**`),
-                    ...(layer === "programs" ? [] : ["**/standin/**", "**/bench/**"]),
+                    ...layers.slice(0, position + 1).map(left => `**/${left}/**`),
+                    "**/standin/**",
+                    "**/bench/**",
                 ],
                 message: `layer "${layer}" imports only rightwards: ${layers.join(" → ")}`,
             }],
--- /dev/null
+++ b/src/programs/daemon.ts
@@ -0,0 +1,62 @@
+/**
+ * What the two daemons share at start and stop: their settings file, their tokens and the signals that end them.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { readFileSync } from "node:fs";
+import type { z } from "zod";
+import { decodeDaemonConfig, describeProblem } from "../protocol/daemonConfig.js";
+import { operatorTokenVariable, peerTokenVariable } from "../transport/tokens.js";
+
+/** Exit status of a daemon whose settings file or environment is wrong. */
+const wrongSettingsStatus = 2;
+
+export type Tokens = { peerToken: string; operatorToken: string; };
+
+const readTokens = (environment: NodeJS.ProcessEnv): Result<Tokens, string[]> => {
+    const peerToken = environment[peerTokenVariable];
+    const operatorToken = environment[operatorTokenVariable];
+    const missing = [peerToken ? [] : peerTokenVariable, operatorToken ? [] : operatorTokenVariable].flat();
+    return peerToken && operatorToken
+        ? ok({ peerToken, operatorToken })
+        : err(missing.map(name => `environment variable "${name}" is not set`));
+};
+
+const readConfig = <Schema extends z.ZodType>(schema: Schema, file: string): Result<z.infer<Schema>, string[]> => {
+    try {
+        return decodeDaemonConfig(schema, file, readFileSync(file, "utf8"))
+            .mapErr(problems => problems.map(describeProblem));
+    }
+    catch (error) {
+        return err([`settings file "${file}" can't be read: ${(error as Error).message}`]);
+    }
+};
+
+/** Reads file and environment; on any fault names each on standard error and exits before anything listens. */
+export const loadDaemon = <Schema extends z.ZodType>(
+    schema: Schema,
+    file: string,
+): { config: z.infer<Schema>; tokens: Tokens; } => {
+    const config = readConfig(schema, file);
+    const tokens = readTokens(process.env);
+    if (config.isOk() && tokens.isOk()) {
+        return { config: config.value, tokens: tokens.value };
+    }
+    const problems = [...(config.isErr() ? config.error : []), ...(tokens.isErr() ? tokens.error : [])];
+    for (const problem of problems) {
+        process.stderr.write(`${problem}\n`);
+    }
+    process.exit(wrongSettingsStatus);
+};
+
+/** Calls `stop` once, on the first SIGTERM or SIGINT. */
+export const onStopSignal = (stop: (name: string) => Promise<void>): void => {
+    let isStopping = false;
+    const handle = (name: string): void => {
+        if (!isStopping) {
+            isStopping = true;
+            void stop(name);
+        }
+    };
+    process.on("SIGTERM", handle);
+    process.on("SIGINT", handle);
+};
--- /dev/null
+++ b/src/protocol/settingsReader.ts
@@ -0,0 +1,132 @@
+/**
+ * Typed settings of a daemon: reads the tree in force and stays with a node's last good values when the newest can't be
+ * read.
+ *
+ * Values are worked out on first use after a change and kept until the next, so that a request reads plain objects. The
+ * index of API keys is built from the raw nodes, because at 15,000 client accounts a schema check of each account at
+ * each change would take more processor time than control may.
+ */
+import type { Result } from "neverthrow";
+import { effective, livePaths, nodeAt, type SettingsState } from "../state/settingsTree.js";
+import {
+    type ClientAccountSettings,
+    clientAccountSettings,
+    groupNames,
+    type GroupSettings,
+    groupSettings,
+    type RootSettings,
+    rootSettings,
+    type ServiceSettings,
+    serviceSettings,
+    type SettingsFailure,
+} from "./settingsSchema.js";
+
+export type SettingsReader = {
+    state: () => SettingsState;
+    root: () => RootSettings | undefined;
+    group: (group: string) => GroupSettings | undefined;
+    service: (service: string) => ServiceSettings | undefined;
+    clientAccount: (clientAccount: string) => ClientAccountSettings | undefined;
+    /** Name of the client account that owns the API key with this SHA-256 digest. */
+    clientAccountOfKey: (digest: string) => string | undefined;
+    groupsOfModel: (model: string) => string[];
+    isZoneOut: (availabilityZone: string) => boolean;
+    /** Nodes whose newest values can't be read, with the reason; for the dump. */
+    unreadable: () => SettingsFailure[];
+};
+
+const accountsPrefix = "clientAccounts/";
+
+/** Reads through `current`, which gives the state in force. */
+export const createSettingsReader = (current: () => SettingsState): SettingsReader => {
+    let seen: SettingsState | undefined;
+    let values = new Map<string, unknown>();
+    let keyIndex: Map<string, string> | undefined;
+    let modelIndex: Map<string, string[]> | undefined;
+    const lastGood = new Map<string, unknown>();
+    const failures = new Map<string, SettingsFailure>();
+
+    const refresh = (): SettingsState => {
+        const state = current();
+        if (state !== seen) {
+            seen = state;
+            values = new Map();
+            keyIndex = undefined;
+            modelIndex = undefined;
+        }
+        return state;
+    };
+
+    const remember = <Value>(key: string, read: Result<Value, SettingsFailure>): Value | undefined => {
+        if (read.isOk()) {
+            failures.delete(key);
+            lastGood.set(key, read.value);
+            return read.value;
+        }
+        if (read.error.kind === "absent") {
+            lastGood.delete(key);
+            return undefined;
+        }
+        failures.set(key, read.error);
+        return lastGood.get(key) as Value | undefined;
+    };
+
+    const cached = <Value>(
+        key: string,
+        read: (state: SettingsState) => Result<Value, SettingsFailure>,
+    ): Value | undefined => {
+        const state = refresh();
+        if (!values.has(key)) {
+            values.set(key, remember(key, read(state)));
+        }
+        return values.get(key) as Value | undefined;
+    };
+
+    const buildKeyIndex = (state: SettingsState): Map<string, string> => {
+        const index = new Map<string, string>();
+        for (const path of Object.keys(state.nodes)) {
+            const digests = path.startsWith(accountsPrefix) ? nodeAt(state, path)?.["apiKeyDigests"] : undefined;
+            for (const digest of Array.isArray(digests) ? digests as unknown[] : []) {
+                index.set(String(digest), path.slice(accountsPrefix.length));
+            }
+        }
+        return index;
+    };
+
+    const group = (name: string): GroupSettings | undefined =>
+        cached(`groups/${name}`, state => groupSettings(state, name));
+
+    const buildModelIndex = (state: SettingsState): Map<string, string[]> => {
+        const index = new Map<string, string[]>();
+        for (const name of groupNames(state)) {
+            const model = group(name)?.model;
+            if (model !== undefined) {
+                index.set(model, [...(index.get(model) ?? []), name]);
+            }
+        }
+        return index;
+    };
+
+    return {
+        state: refresh,
+        root: () => cached("", rootSettings),
+        group,
+        service: name => cached(`services/${name}`, state => serviceSettings(state, name)),
+        clientAccount: name => cached(`clientAccounts/${name}`, state => clientAccountSettings(state, name)),
+        clientAccountOfKey: digest => {
+            const state = refresh();
+            keyIndex ??= buildKeyIndex(state);
+            return keyIndex.get(digest);
+        },
+        groupsOfModel: model => {
+            const state = refresh();
+            modelIndex ??= buildModelIndex(state);
+            return modelIndex.get(model) ?? [];
+        },
+        isZoneOut: availabilityZone => effective(refresh(), `availabilityZones/${availabilityZone}`)["state"] === "out",
+        unreadable: () => [...failures.values()],
+    };
+};
+
+/** Whether the state holds any node, so that a daemon knows that it has read settings at all. */
+export const hasSettings = (state: SettingsState): boolean => livePaths(state).length > 0;
--- /dev/null
+++ b/src/transport/agentDaemon.ts
@@ -0,0 +1,108 @@
+/**
+ * An agent put together: one listener, the gate, the client of its upstream and the followers.
+ */
+import { Hono } from "hono";
+import { type AdmissionGate, createAdmissionGate, type GateSettings } from "../coordination/admissionGate.js";
+import { createMetrics } from "../coordination/metrics.js";
+import { startSettingsFollower } from "../coordination/settingsFollower.js";
+import { heartbeatIntervalMilliseconds } from "../protocol/attemptProtocol.js";
+import type { AgentConfig } from "../protocol/daemonConfig.js";
+import { createSettingsReader, type SettingsReader } from "../protocol/settingsReader.js";
+import type { SettingsRecord } from "../state/types.js";
+import { addModelRoute, addServiceRoute } from "./attemptServer.js";
+import { addOperatorRoutes, requireToken } from "./daemonRoutes.js";
+import { createEngineClient } from "./engineClient.js";
+import { listen, type NodeBindings } from "./httpServer.js";
+import { createLogClient } from "./logClient.js";
+import type { Logger } from "./logger.js";
+import { createServiceClient } from "./serviceClient.js";
+import { systemClock } from "./systemClock.js";
+
+export type AgentDaemon = {
+    address: string;
+    /** Planned stop: refuses new attempts, lets those in progress finish. */
+    stop: () => Promise<void>;
+};
+
+/** Step time at which a plain service counts as strained; it reports none of its own. */
+const serviceStepTimeBoundMilliseconds = 60_000;
+/** An agent without settings admits little, since it doesn't know what its upstream bears. */
+const unknownSettings: GateSettings = { capacity: 1, coldCapacity: 1, stepTimeBoundMilliseconds: 75 };
+
+const gateSettings = (settings: SettingsReader, upstream: AgentConfig["upstream"]): GateSettings => {
+    if (upstream.kind === "group") {
+        return settings.group(upstream.group) ?? unknownSettings;
+    }
+    const service = settings.service(upstream.service);
+    return service === undefined ? unknownSettings : {
+        capacity: service.capacity,
+        coldCapacity: service.capacity,
+        stepTimeBoundMilliseconds: serviceStepTimeBoundMilliseconds,
+    };
+};
+
+const addAttemptRoutes = (application: Hono<NodeBindings>, config: AgentConfig, gate: AdmissionGate): void => {
+    if (config.upstream.kind === "group") {
+        addModelRoute(application, {
+            host: config.host,
+            gate,
+            engine: createEngineClient(config.upstream.address),
+            clock: systemClock,
+            heartbeatMilliseconds: heartbeatIntervalMilliseconds,
+        });
+        return;
+    }
+    addServiceRoute(application, {
+        host: config.host,
+        gate,
+        service: createServiceClient(config.upstream.address),
+        guard: (attempt, call, signal) => call(signal),
+    });
+};
+
+/** Starts an agent. */
+export const startAgent = async (
+    config: AgentConfig,
+    tokens: { peerToken: string; operatorToken: string; },
+    logger: Logger,
+): Promise<AgentDaemon> => {
+    const stopping = new AbortController();
+    const { signal } = stopping;
+    const metrics = createMetrics();
+    const follower = startSettingsFollower({
+        stream: createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" }),
+        clock: systemClock,
+        random: Math.random,
+        signal,
+    });
+    const settings = createSettingsReader(follower.state);
+    const gate = createAdmissionGate({
+        clock: systemClock,
+        settings: () => gateSettings(settings, config.upstream),
+    });
+    const application = new Hono<NodeBindings>();
+    application.use("/attempts/*", requireToken(tokens.peerToken));
+    addAttemptRoutes(application, config, gate);
+    addOperatorRoutes(application, {
+        operatorToken: tokens.operatorToken,
+        metrics: metrics.text,
+        dump: () => ({
+            host: config.host,
+            availabilityZone: config.availabilityZone,
+            role: "agent",
+            upstream: config.upstream,
+            load: gate.load(),
+            settings: { ...follower.status(), unreadable: settings.unreadable() },
+        }),
+    });
+    const listener = await listen(application, config.listen);
+    return {
+        address: listener.address,
+        stop: async () => {
+            gate.drain();
+            logger.info("draining", { running: gate.load().running });
+            await listener.close();
+            stopping.abort();
+        },
+    };
+};
--- /dev/null
+++ b/src/transport/entryDaemon.ts
@@ -0,0 +1,115 @@
+/**
+ * An entry put together: its two listeners, its followers and the tasks that serve requests.
+ */
+import { Hono } from "hono";
+import { v7 as uuid } from "uuid";
+import type { AttemptEvent, TaskTools } from "../coordination/completionTask.js";
+import { runCompletion } from "../coordination/completionTask.js";
+import { createMetrics, type Metrics } from "../coordination/metrics.js";
+import { runServiceCall } from "../coordination/serviceTask.js";
+import { startSettingsFollower } from "../coordination/settingsFollower.js";
+import { createSimpleChooser } from "../coordination/simpleChooser.js";
+import type { EntryConfig } from "../protocol/daemonConfig.js";
+import { createSettingsReader } from "../protocol/settingsReader.js";
+import type { SettingsRecord } from "../state/types.js";
+import { createAttemptClient } from "./attemptClient.js";
+import { type AnswerEvent, createCallerApplication } from "./callerServer.js";
+import { addOperatorRoutes } from "./daemonRoutes.js";
+import { startHostListFollower } from "./hostListFollower.js";
+import { listen, type NodeBindings } from "./httpServer.js";
+import { createLogClient } from "./logClient.js";
+import type { Logger } from "./logger.js";
+import { systemClock } from "./systemClock.js";
+
+export type EntryDaemon = {
+    /** Where callers connect. */
+    address: string;
+    /** Where peers and operators connect. */
+    control: string;
+    /** Planned stop: takes no new request, lets those in progress finish. */
+    stop: () => Promise<void>;
+};
+
+const recordAnswer = (metrics: Metrics, logger: Logger) => (event: AnswerEvent): void => {
+    const elapsedMilliseconds = systemClock.now() - event.startedAt;
+    metrics.count(`requests_${event.outcome}`);
+    metrics.observe("request", elapsedMilliseconds);
+    if (event.firstTokenAt !== undefined) {
+        metrics.observe("first_token", event.firstTokenAt - event.startedAt);
+    }
+    metrics.count("tokens", event.tokens ?? 0);
+    const { requestId, clientAccount, outcome, code, tokens } = event;
+    logger.debug("answered", { requestId, clientAccount, outcome, code, tokens, elapsedMilliseconds });
+};
+
+const recordAttempt = (metrics: Metrics, logger: Logger) => (event: AttemptEvent): void => {
+    metrics.count(`attempts_${event.outcome}`);
+    const log = event.outcome === "complete" ? logger.debug : logger.info;
+    log("attempt", event);
+};
+
+/** Starts an entry; it serves as soon as it listens, with the settings that it has read so far. */
+export const startEntry = async (
+    config: EntryConfig,
+    tokens: { peerToken: string; operatorToken: string; },
+    logger: Logger,
+): Promise<EntryDaemon> => {
+    const stopping = new AbortController();
+    const { signal } = stopping;
+    const clock = systemClock;
+    const metrics = createMetrics();
+    const follower = startSettingsFollower({
+        stream: createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" }),
+        clock,
+        random: Math.random,
+        signal,
+    });
+    const settings = createSettingsReader(follower.state);
+    const hostList = startHostListFollower(config.platform, clock, signal);
+    const chooser = createSimpleChooser({
+        availabilityZone: config.availabilityZone,
+        hosts: hostList.hosts,
+        groupsOfModel: settings.groupsOfModel,
+        isZoneOut: settings.isZoneOut,
+    });
+    const tools: TaskTools = {
+        chooser,
+        attempts: createAttemptClient(tokens.peerToken),
+        clock,
+        newId: uuid,
+        takeRetry: () => true,
+        onAttempt: recordAttempt(metrics, logger),
+    };
+    const callers = createCallerApplication({
+        host: config.host,
+        settings,
+        now: clock.now,
+        newId: uuid,
+        complete: (work, limits, onToken, gone) => runCompletion(tools, work, limits, onToken, gone),
+        callService: (work, limits, gone) => runServiceCall(tools, work, limits, gone),
+        onAnswer: recordAnswer(metrics, logger),
+    });
+    const control = new Hono<NodeBindings>();
+    addOperatorRoutes(control, {
+        operatorToken: tokens.operatorToken,
+        metrics: metrics.text,
+        dump: () => ({
+            host: config.host,
+            availabilityZone: config.availabilityZone,
+            role: "entry",
+            settings: { ...follower.status(), unreadable: settings.unreadable() },
+            hostList: { version: hostList.current().version, failure: hostList.failure(), hosts: hostList.hosts() },
+        }),
+    });
+    const callerListener = await listen(callers, config.listen);
+    const controlListener = await listen(control, config.control);
+    return {
+        address: callerListener.address,
+        control: controlListener.address,
+        stop: async () => {
+            await callerListener.close();
+            stopping.abort();
+            await controlListener.close();
+        },
+    };
+};
--- /dev/null
+++ b/tests/support/processes.ts
@@ -0,0 +1,82 @@
+/**
+ * Runs our programs as processes of a test and waits for the events that they print as JSON lines.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+
+export type ProgramEvent = { event: string; address: string; addresses: string[]; control: string; } & Record<string, unknown>;
+
+export type Program = {
+    /** Resolves with the first event, past or future, that satisfies `matches`. */
+    event: (matches: string | ((event: ProgramEvent) => boolean)) => Promise<ProgramEvent>;
+    signal: (name: NodeJS.Signals) => void;
+    exited: Promise<number | undefined>;
+    /** Kills the process and waits for its end. */
+    kill: () => Promise<void>;
+    output: () => string;
+};
+
+export const testTokens = { CYCLAMENGAP_PEER_TOKEN: "peer-secret", CYCLAMENGAP_OPERATOR_TOKEN: "operator-secret" };
+
+const running = new Set<ChildProcess>();
+
+export const startProgram = (name: string, parameters: string[]): Program => {
+    const child = spawn(process.execPath, [`dist/src/programs/${name}.js`, ...parameters], {
+        env: { ...process.env, ...testTokens },
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    running.add(child);
+    const events: ProgramEvent[] = [];
+    const waiters = new Set<(event: ProgramEvent) => void>();
+    let output = "";
+    createInterface({ input: child.stdout }).on("line", line => {
+        output += `${line}\n`;
+        if (line.startsWith("{")) {
+            const event = JSON.parse(line) as ProgramEvent;
+            events.push(event);
+            waiters.forEach(waiter => waiter(event));
+        }
+    });
+    createInterface({ input: child.stderr }).on("line", line => {
+        output += `${line}\n`;
+    });
+    const exited = new Promise<number | undefined>(resolve => {
+        child.once("exit", status => {
+            running.delete(child);
+            resolve(status ?? undefined);
+        });
+    });
+    return {
+        event: matches => {
+            const test = typeof matches === "string" ? (event: ProgramEvent) => event.event === matches : matches;
+            const past = events.find(test);
+            if (past !== undefined) {
+                return Promise.resolve(past);
+            }
+            return new Promise((resolve, reject) => {
+                const waiter = (event: ProgramEvent): void => {
+                    if (test(event)) {
+                        waiters.delete(waiter);
+                        resolve(event);
+                    }
+                };
+                waiters.add(waiter);
+                void exited.then(status => reject(new Error(`${name} ended with status ${status}:\n${output}`)));
+            });
+        },
+        signal: signalName => void child.kill(signalName),
+        exited,
+        kill: async () => {
+            child.kill("SIGKILL");
+            await exited;
+        },
+        output: () => output,
+    };
+};
+
+/** Kills whatever a failed test left running. */
+export const killAllPrograms = (): void => {
+    for (const child of running) {
+        child.kill("SIGKILL");
+    }
+};
