--- /dev/null
+++ b/src/coordination/settingsTopic.ts
@@ -0,0 +1,55 @@
+/**
+ * The relay's topic for settings: a peer that lags a little gets the records it lacks, any other the whole tree.
+ */
+import type { SettingsState } from "../state/settingsTree.js";
+import type { LogRecord, SettingsRecord } from "../state/types.js";
+import type { RelayTopic } from "./relay.js";
+import type { SettingsFollower } from "./settingsFollower.js";
+
+type SettingsUpdate =
+    | { kind: "records"; records: LogRecord<SettingsRecord>[]; }
+    | { kind: "state"; state: SettingsState; };
+
+/** Reads an update that a peer sent, or undefined if it is malformed; protocol provides it. */
+export type SettingsUpdateDecoder = (update: unknown) => SettingsUpdate | undefined;
+
+const offsetOf = (digest: unknown): number =>
+    typeof digest === "object" && digest !== null && "offset" in digest && Number.isSafeInteger(digest.offset)
+        ? digest.offset as number
+        : -1;
+
+/** Longest run of `records` from the first on whose JSON has at most `maximumBytes`. */
+const withinBytes = (records: LogRecord<SettingsRecord>[], maximumBytes: number): LogRecord<SettingsRecord>[] => {
+    let bytes = 0;
+    const end = records.findIndex(record => {
+        bytes += Buffer.byteLength(JSON.stringify(record)) + 1;
+        return bytes > maximumBytes;
+    });
+    return end < 0 ? records : records.slice(0, end);
+};
+
+const updateEnvelopeBytes = 64;
+
+/** Builds the topic `settings` over `follower`. */
+export const settingsTopic = (follower: SettingsFollower, decode: SettingsUpdateDecoder): RelayTopic => ({
+    name: "settings",
+    digest: () => ({ offset: follower.state().offset }),
+    newerThan: (digest, maximumBytes): SettingsUpdate | undefined => {
+        const offset = offsetOf(digest);
+        const state = follower.state();
+        if (offset >= state.offset) {
+            return undefined;
+        }
+        const records = withinBytes(follower.recordsAfter(offset) ?? [], maximumBytes - updateEnvelopeBytes);
+        return records.length > 0 ? { kind: "records", records } : { kind: "state", state };
+    },
+    accept: update => {
+        const decoded = decode(update);
+        if (decoded?.kind === "records") {
+            follower.takeRecords(decoded.records);
+        }
+        else if (decoded?.kind === "state") {
+            follower.adopt(decoded.state);
+        }
+    },
+});
--- a/src/transport/logClient.ts
+++ b/src/transport/logClient.ts
@@ -13,6 +13,7 @@
 import type { AppendFailure, LogStream, ReadFailure } from "../coordination/logStream.js";
 import { decodeJsonAs, describeDecodingError } from "../protocol/decoding.js";
 import type { LogSlice } from "../state/types.js";
+import { boundSignal } from "./boundedSignal.js";
 
 const defaultTimeoutMilliseconds = 5_000;
 const defaultRecordsPerRead = 512;
@@ -62,12 +63,18 @@
         timeout: number,
         signal: AbortSignal,
     ): Promise<Answer> => {
-        const response = await request(target, {
-            ...parameters,
-            ...(dispatcher === undefined ? {} : { dispatcher }),
-            signal: AbortSignal.any([signal, AbortSignal.timeout(timeout)]),
-        });
-        return { status: response.statusCode, text: await response.body.text() };
+        const bounded = boundSignal(signal, timeout);
+        try {
+            const response = await request(target, {
+                ...parameters,
+                ...(dispatcher === undefined ? {} : { dispatcher }),
+                signal: bounded.signal,
+            });
+            return { status: response.statusCode, text: await response.body.text() };
+        }
+        finally {
+            bounded.release();
+        }
     };
 
     const append = async (body: Body, signal: AbortSignal): Promise<Result<number, AppendFailure>> => {
--- /dev/null
+++ b/src/transport/peerClient.ts
@@ -0,0 +1,29 @@
+/**
+ * Calls the relay of other daemons over tRPC.
+ */
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { err, ok } from "neverthrow";
+import type { PeerExchange } from "../coordination/relay.js";
+import type { PeerRouter } from "../protocol/peerRouter.js";
+import { boundSignal } from "./boundedSignal.js";
+import { peerEndpoint } from "./peerServer.js";
+
+const timeoutMilliseconds = 2_000;
+
+/** Builds the exchange that presents `token` to each peer. */
+export const createPeerExchange = (token: string): PeerExchange => async (address, digests, signal) => {
+    const client = createTRPCClient<PeerRouter>({
+        links: [httpLink({ url: `http://${address}${peerEndpoint}`, headers: { authorization: `Bearer ${token}` } })],
+    });
+    const bounded = boundSignal(signal, timeoutMilliseconds);
+    try {
+        return ok(await client.exchange.mutate(digests, { signal: bounded.signal }));
+    }
+    catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        return err({ kind: "unreachable", reason: `peer "${address}": ${reason}` });
+    }
+    finally {
+        bounded.release();
+    }
+};
--- /dev/null
+++ b/tests/settingsSpread.test.ts
@@ -0,0 +1,140 @@
+import { expect } from "chai";
+import { err, ok } from "neverthrow";
+import { answerDigests, startRelay } from "../src/coordination/relay.js";
+import type { PeerExchange, RelayTopic } from "../src/coordination/relay.js";
+import { startSettingsFollower } from "../src/coordination/settingsFollower.js";
+import { settingsTopic } from "../src/coordination/settingsTopic.js";
+import { runSnapshotDuty } from "../src/coordination/snapshotDuty.js";
+import { maximumRelayAnswerBytes } from "../src/protocol/peerRouter.js";
+import { availabilityZoneSettings } from "../src/protocol/settingsSchema.js";
+import { decodeSettingsUpdate } from "../src/protocol/settingsUpdate.js";
+import { editFrom } from "../src/state/settingsFold.js";
+import type { SettingsRecord } from "../src/state/types.js";
+import { advanceBy, advanceUntil } from "./support/advance.js";
+import { memoryLog } from "./support/memoryLog.js";
+import { seededRandom } from "./support/random.js";
+import { virtualClock } from "./support/virtualClock.js";
+
+const inForceLimitMilliseconds = 4_000;
+
+/** A platform's log and daemons of two availability zones, joined by the real relay through JSON. */
+const deployment = (seed: number) => {
+    const clock = virtualClock();
+    const random = seededRandom(seed);
+    const log = memoryLog<SettingsRecord>(clock);
+    const controller = new AbortController();
+    const topics = new Map<string, RelayTopic[]>();
+    const unreachable = new Set<string>();
+
+    const exchange: PeerExchange = async (address, digests) => {
+        const known = topics.get(address);
+        return known === undefined || unreachable.has(address)
+            ? err({ kind: "unreachable", reason: "cut" })
+            : ok(JSON.parse(JSON.stringify(answerDigests(known, digests, maximumRelayAnswerBytes))));
+    };
+
+    const startDaemon = (host: string, seeds?: string[]) => {
+        const stream = log.connect();
+        const follower = startSettingsFollower({ stream, clock, random, signal: controller.signal });
+        const own = [settingsTopic(follower, decodeSettingsUpdate)];
+        const peers = () => seeds ?? [...topics.keys()].filter(other => other !== host);
+        topics.set(host, own);
+        const relay = startRelay({ topics: own, peers, exchange, clock, random, signal: controller.signal });
+        const zoneState = (zone: string) => availabilityZoneSettings(follower.state(), zone)._unsafeUnwrap().state;
+        return { host, stream, follower, relay, zoneState };
+    };
+
+    const operator = startDaemon("operator", []);
+    const orderZone = async (zone: string, state: "in" | "out") => {
+        const edit = editFrom(operator.follower.state(), `availabilityZones/${zone}`, { state });
+        const body: SettingsRecord = { kind: "change", id: `${zone}-${state}`, author: "", comment: "", edits: [edit] };
+        return (await operator.stream.append(body, controller.signal))._unsafeUnwrap();
+    };
+    const stop = async (...daemons: ReturnType<typeof startDaemon>[]) => {
+        controller.abort();
+        await Promise.all([operator, ...daemons].flatMap(({ follower, relay }) => [follower.done, relay.done]));
+    };
+    return { clock, log, controller, unreachable, startDaemon, operator, orderZone, stop };
+};
+
+describe("settings spread", () => {
+    it("reach a zone cut from the platform through its peers, and a new daemon there, within the limit", async () => {
+        const { clock, startDaemon, orderZone, stop } = deployment(1);
+        const near = startDaemon("savo-kuopio-entry");
+        const far = startDaemon("savo-varkaus-entry");
+        far.stream.cut = true;
+        await orderZone("savo-iisalmi", "out");
+        const elapsed = await advanceUntil(clock, () => far.zoneState("savo-iisalmi") === "out");
+        expect(elapsed).to.be.at.most(inForceLimitMilliseconds);
+        expect(far.follower.status().logFailure).to.equal("outage");
+        const later = startDaemon("savo-varkaus-agent", ["savo-varkaus-entry"]);
+        later.stream.cut = true;
+        const start = await advanceUntil(clock, () => later.follower.state().offset === near.follower.state().offset);
+        expect(start).to.be.at.most(inForceLimitMilliseconds);
+        expect(later.follower.state()).to.deep.equal(near.follower.state());
+        await stop(near, far, later);
+    });
+
+    it("are learnt from peers by a daemon that starts with nothing while the log is out, and never revert", async () => {
+        const { clock, log, startDaemon, operator, orderZone, stop } = deployment(2);
+        await orderZone("fes-medina", "out");
+        await advanceUntil(clock, () => operator.zoneState("fes-medina") === "out");
+        log.faults.outage = true;
+        const fresh = startDaemon("meknes-centre-agent");
+        expect(fresh.zoneState("fes-medina")).to.equal("in");
+        await advanceUntil(clock, () => fresh.zoneState("fes-medina") === "out", inForceLimitMilliseconds);
+        log.faults.outage = false;
+        await orderZone("meknes-centre", "out");
+        await advanceUntil(clock, () => fresh.zoneState("meknes-centre") === "out", inForceLimitMilliseconds);
+        expect(fresh.zoneState("fes-medina")).to.equal("out");
+        await stop(fresh);
+    });
+
+    it("serve on unchanged in a zone that nothing reaches and catch up when the partition heals", async () => {
+        const { clock, startDaemon, unreachable, orderZone, stop } = deployment(3);
+        const island = startDaemon("ifrane-nord-entry");
+        await orderZone("fes-medina", "out");
+        await advanceUntil(clock, () => island.zoneState("fes-medina") === "out");
+        island.stream.cut = true;
+        unreachable.add("operator");
+        await orderZone("fes-medina", "in");
+        await advanceBy(clock, 60_000);
+        expect(island.zoneState("fes-medina")).to.equal("out");
+        island.stream.cut = false;
+        const healed = await advanceUntil(clock, () => island.zoneState("fes-medina") === "in");
+        expect(healed).to.be.at.most(inForceLimitMilliseconds);
+        await stop(island);
+    });
+
+    it("survive the log's retention through a snapshot, mostly by one of many daemons", async () => {
+        const { clock, log, controller, startDaemon, operator, orderZone, stop } = deployment(4);
+        log.faults.retentionRecords = 40;
+        const daemons = ["a", "b", "c", "d"].map(host => startDaemon(host));
+        const duties = daemons.map(({ host, follower, stream }) =>
+            runSnapshotDuty({
+                follower,
+                stream,
+                host,
+                hosts: () => ["a", "b", "c", "d"],
+                retention: { records: log.faults.retentionRecords },
+                clock,
+                signal: controller.signal,
+            })
+        );
+        await orderZone("savo-kuopio", "out");
+        for (let round = 0; round < 100; round++) {
+            await orderZone("savo-varkaus", round % 2 === 0 ? "out" : "in");
+            await advanceBy(clock, 1_000);
+        }
+        const first = log.records()[0]!;
+        expect(first.offset, "records were dropped").to.be.above(50);
+        const snapshots = log.records().filter(({ body }) => body.kind === "snapshot");
+        expect(snapshots.length).to.be.within(1, 8);
+        const fresh = startDaemon("fresh", []);
+        await advanceUntil(clock, () => fresh.follower.state().offset === operator.follower.state().offset);
+        expect(fresh.follower.state()).to.deep.equal(operator.follower.state());
+        expect(fresh.zoneState("savo-kuopio")).to.equal("out");
+        await stop(fresh, ...daemons);
+        await Promise.all(duties);
+    });
+});
--- /dev/null
+++ b/tests/support/memoryLog.ts
@@ -0,0 +1,67 @@
+/**
+ * One stream of the platform's log in memory, with its faults on command.
+ */
+import { err, ok } from "neverthrow";
+import type { LogStream } from "../../src/coordination/logStream.js";
+import type { Clock, LogRecord } from "../../src/state/types.js";
+
+export type MemoryLog<Body> = {
+    /** Faults of the log itself. */
+    faults: { outage: boolean; loseAnswers: number; retentionRecords: number; };
+    /** A connection to the log; it fails while its own `cut` is set or the log is out. */
+    connect: () => LogStream<Body> & { cut: boolean; };
+    records: () => LogRecord<Body>[];
+};
+
+export const memoryLog = <Body>(clock: Clock): MemoryLog<Body> => {
+    const faults = { outage: false, loseAnswers: 0, retentionRecords: Infinity };
+    let records: LogRecord<Body>[] = [];
+    let nextOffset = 0;
+    let waiting: (() => void)[] = [];
+
+    const take = (body: Body): number => {
+        const offset = nextOffset++;
+        records.push({ offset, appendedAt: clock.now(), body: structuredClone(body) });
+        records = records.slice(-faults.retentionRecords);
+        waiting.forEach(wake => wake());
+        waiting = [];
+        return offset;
+    };
+
+    const connect = () => {
+        const isOut = (): boolean => faults.outage || connection.cut;
+        const connection: LogStream<Body> & { cut: boolean; } = {
+            name: "settings",
+            cut: false,
+            append: async body => {
+                if (isOut()) {
+                    return err({ kind: "refused", reason: "outage" });
+                }
+                const offset = take(body);
+                if (faults.loseAnswers > 0) {
+                    faults.loseAnswers -= 1;
+                    return err({ kind: "unknown", reason: "connection cut" });
+                }
+                return ok(offset);
+            },
+            read: async (fromOffset, waitMilliseconds, signal) => {
+                if (!isOut() && fromOffset >= nextOffset) {
+                    const record = new Promise<void>(resolve => waiting.push(resolve));
+                    await Promise.race([record, clock.sleep(waitMilliseconds, signal)]);
+                }
+                if (isOut() || signal.aborted) {
+                    return err({ kind: "unavailable", reason: "outage" });
+                }
+                const firstOffset = records[0]?.offset ?? nextOffset;
+                return ok({
+                    records: structuredClone(records.filter(({ offset }) => offset >= fromOffset)),
+                    firstOffset,
+                    nextOffset,
+                });
+            },
+        };
+        return connection;
+    };
+
+    return { faults, connect, records: () => records };
+};
--- a/tests/support/virtualClock.ts
+++ b/tests/support/virtualClock.ts
@@ -25,8 +25,12 @@
                 resolve();
                 return;
             }
-            sleepers.push({ wakeAt: now + milliseconds, wake: resolve });
-            signal.addEventListener("abort", () => resolve(), { once: true });
+            const wake = (): void => {
+                signal.removeEventListener("abort", wake);
+                resolve();
+            };
+            sleepers.push({ wakeAt: now + milliseconds, wake });
+            signal.addEventListener("abort", wake, { once: true });
         });
     return { now: () => now, sleep, advance };
 };
