Share the reading of files with comments; add orders to availability zones without the log

The daemons' files and the operators' documents need the same parsing, so it stands in one module now, which also names unknown fields and repeated names with their own lines.

--- a/src/programs/daemon.ts
+++ b/src/programs/daemon.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { readFileSync } from "node:fs";
 import type { z } from "zod";
-import { decodeDaemonConfig, describeProblem } from "../protocol/daemonConfig.js";
+import { decodeCommentedFile, describeProblem } from "../protocol/commentedJson.js";
 import { operatorTokenVariable, peerTokenVariable } from "../transport/tokens.js";
 
 /** Exit status of a daemon whose settings file or environment is wrong. */
@@ -23,7 +23,7 @@
 
 const readConfig = <Schema extends z.ZodType>(schema: Schema, file: string): Result<z.infer<Schema>, string[]> => {
     try {
-        return decodeDaemonConfig(schema, file, readFileSync(file, "utf8"))
+        return decodeCommentedFile(schema, file, readFileSync(file, "utf8"))
             .mapErr(problems => problems.map(describeProblem));
     }
     catch (error) {
--- /dev/null
+++ b/src/protocol/commentedJson.ts
@@ -0,0 +1,97 @@
+/**
+ * Files of JSON with comments, whose every problem is named with its file, line and path.
+ */
+import { findNodeAtLocation } from "jsonc-parser";
+import type { Node } from "jsonc-parser";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { z } from "zod";
+import { decodeCommentedJson, decodeValue } from "./decoding.js";
+
+/** One fault of a file; `line` counts from 1, `path` leads to the value from the top, joined by ".". */
+export type FileProblem = { file: string; line: number; path: string; expected: string; };
+
+/** Message of a problem, for logs and the command line. */
+export const describeProblem = ({ file, line, path, expected }: FileProblem): string =>
+    `${file}:${line}: field "${path}": ${expected}`;
+
+export type CommentedFile = {
+    value: unknown;
+    /** Names a problem at `path`, with the line of the nearest value that the file holds. */
+    problemAt: (path: PropertyKey[], expected: string) => FileProblem;
+};
+
+const lineAt = (text: string, position: number): number => text.slice(0, position).split("\n").length;
+
+const toValue = (node: Node): unknown => {
+    switch (node.type) {
+        case "object":
+            return Object.fromEntries((node.children ?? []).map(toProperty));
+        case "array":
+            return (node.children ?? []).map(toValue);
+        default:
+            return node.value;
+    }
+};
+
+const toProperty = (property: Node): [string, unknown] => {
+    const [key, value] = property.children ?? [];
+    return [String(key?.value), value === undefined ? undefined : toValue(value)];
+};
+
+type Repetition = { path: string[]; position: number; };
+
+/** Names that stand twice in one object, of which a parser would keep only one. */
+const repetitionsIn = (node: Node, path: string[] = []): Repetition[] => {
+    const seen = new Set<string>();
+    return (node.children ?? []).flatMap((child, position) => {
+        const [key, value] = child.type === "property" ? child.children ?? [] : [undefined, child];
+        const name = key === undefined ? String(position) : String(key.value);
+        const repetition = key !== undefined && seen.has(name) ? [{ path: [...path, name], position: key.offset }] : [];
+        seen.add(name);
+        return [...repetition, ...value === undefined ? [] : repetitionsIn(value, [...path, name])];
+    });
+};
+
+const lineOfPath = (text: string, root: Node, path: PropertyKey[]): number => {
+    for (let length = path.length; length >= 0; length--) {
+        const node = findNodeAtLocation(root, path.slice(0, length) as (string | number)[]);
+        if (node !== undefined) {
+            return lineAt(text, node.parent?.type === "property" ? node.parent.offset : node.offset);
+        }
+    }
+    return 1;
+};
+
+/** Parses the text of a file; `file` is its name in the problems. */
+export const parseCommentedFile = (file: string, text: string): Result<CommentedFile, FileProblem[]> =>
+    decodeCommentedJson(text)
+        .mapErr(problems =>
+            problems.map(({ position, expected }) => ({ file, line: lineAt(text, position), path: "", expected }))
+        )
+        .andThen(root => {
+            const repetitions = repetitionsIn(root).map(({ path, position }) => ({
+                file,
+                line: lineAt(text, position),
+                path: path.join("."),
+                expected: "a name that stands once in its object",
+            }));
+            const problemAt = (path: PropertyKey[], expected: string): FileProblem => ({
+                file,
+                line: lineOfPath(text, root, path),
+                path: path.map(String).join("."),
+                expected,
+            });
+            return repetitions.length === 0 ? ok({ value: toValue(root), problemAt }) : err(repetitions);
+        });
+
+/** Parses the text of a file and checks it against `schema`. */
+export const decodeCommentedFile = <Schema extends z.ZodType>(
+    schema: Schema,
+    file: string,
+    text: string,
+): Result<z.infer<Schema>, FileProblem[]> =>
+    parseCommentedFile(file, text).andThen(({ value, problemAt }) =>
+        decodeValue<z.infer<Schema>>(schema as z.ZodType<z.infer<Schema>>, value)
+            .mapErr(({ problems }) => problems.map(({ path, expected }) => problemAt(path, expected)))
+    );
--- a/src/protocol/decoding.ts
+++ b/src/protocol/decoding.ts
@@ -29,11 +29,16 @@
     tsResults.Result.wrap<unknown, Error>(() => JSON.parse(text) as unknown)
         .mapErr(error => ({ problems: [{ path: [], expected: `JSON (${error.message})` }] }));
 
+const problemsOf = (issue: z.core.$ZodIssue): DecodingProblem[] =>
+    issue.code === "unrecognized_keys"
+        ? issue.keys.map(key => ({ path: [...issue.path, key], expected: "no field of this name" }))
+        : [{ path: issue.path, expected: issue.message }];
+
 const matchSchema = <Value>(schema: z.ZodType<Value>, value: unknown): DecodingResult<Value, DecodingError> => {
     const parsed = schema.safeParse(value);
     return parsed.success
         ? Ok(parsed.data)
-        : Err({ problems: parsed.error.issues.map(issue => ({ path: issue.path, expected: issue.message })) });
+        : Err({ problems: parsed.error.issues.flatMap(problemsOf) });
 };
 
 const parseCommented = (text: string): DecodingResult<Node, SyntaxProblem[]> => {
--- a/src/protocol/settingsUpdate.ts
+++ b/src/protocol/settingsUpdate.ts
@@ -1,8 +1,9 @@
 /**
- * Decodes what the relay's settings topic carries between daemons.
+ * Decodes what the relay's topics for settings and for orders to availability zones carry between daemons.
  */
 import { z } from "zod";
 import type { SettingsUpdateDecoder } from "../coordination/settingsTopic.js";
+import type { ZoneOrder } from "../coordination/zoneOrders.js";
 import type { SettingsRecord } from "../state/types.js";
 import { decodeValue } from "./decoding.js";
 
@@ -28,3 +29,14 @@
 
 export const decodeSettingsUpdate: SettingsUpdateDecoder = update =>
     decodeValue(updateSchema, update).match(decoded => decoded, () => undefined);
+
+const zoneOrdersSchema = z.array(z.object({
+    availabilityZone: z.string().min(1),
+    state: z.enum(["in", "out"]),
+    revision: offset,
+    givenAt: z.number(),
+}));
+
+/** Reads the orders for availability zones that a peer sent; none when they are malformed. */
+export const decodeZoneOrders = (update: unknown): ZoneOrder[] =>
+    decodeValue(zoneOrdersSchema, update).match(orders => orders, () => []);
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -1,30 +1,45 @@
 /**
- * Serves the peers' tRPC router as a fetch handler, to be mounted on a daemon's control address.
+ * Serves the peers' and the operators' tRPC routers on a daemon's control address.
  */
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
-import { createHash, timingSafeEqual } from "node:crypto";
+import type { Hono } from "hono";
+import { operatorRouter } from "../protocol/operatorRouter.js";
+import type { OperatorContext } from "../protocol/operatorRouter.js";
 import { peerRouter } from "../protocol/peerRouter.js";
 import type { PeerContext } from "../protocol/peerRouter.js";
+import { requireToken } from "./daemonRoutes.js";
+import type { NodeBindings } from "./httpServer.js";
 
-/** Path below which the router is mounted: `app.all("/peer/*", context => handler(context.req.raw))`. */
+/** Path below which the peers' router is served. */
 export const peerEndpoint = "/peer";
 
-const digestOf = (text: string): Buffer => createHash("sha256").update(text).digest();
+/** Path below which the operators' router is served. */
+export const operatorEndpoint = "/operator";
 
-/** Whether `request` carries `token` as its bearer token, compared in constant time. */
-export const carriesToken = (request: Request, token: string): boolean =>
-    timingSafeEqual(digestOf(request.headers.get("authorization") ?? ""), digestOf(`Bearer ${token}`));
-
-/** Builds the handler; a request without the peers' token gets status 401 and reaches no procedure. */
-export const createPeerHandler =
-    (context: PeerContext, token: string): (request: Request) => Promise<Response> => async request => {
-        if (!carriesToken(request, token)) {
-            return Response.json({ error: "the peers' token is missing or wrong" }, { status: 401 });
-        }
-        return await fetchRequestHandler({
+/** Adds the procedures for peers; a request without `peerToken` gets status 401 and reaches none of them. */
+export const addPeerRoutes = (application: Hono<NodeBindings>, context: PeerContext, peerToken: string): void => {
+    application.use(`${peerEndpoint}/*`, requireToken(peerToken));
+    application.all(`${peerEndpoint}/*`, ({ req }) =>
+        fetchRequestHandler({
             endpoint: peerEndpoint,
-            req: request,
+            req: req.raw,
             router: peerRouter,
             createContext: () => context,
-        });
-    };
+        }));
+};
+
+/** Adds the procedures for operators; a request without `operatorToken` gets status 401 and reaches none of them. */
+export const addOperatorProcedures = (
+    application: Hono<NodeBindings>,
+    context: OperatorContext,
+    operatorToken: string,
+): void => {
+    application.use(`${operatorEndpoint}/*`, requireToken(operatorToken));
+    application.all(`${operatorEndpoint}/*`, ({ req }) =>
+        fetchRequestHandler({
+            endpoint: operatorEndpoint,
+            req: req.raw,
+            router: operatorRouter,
+            createContext: () => context,
+        }));
+};
