--- /dev/null
+++ b/src/coordination/hostListFollower.ts
@@ -0,0 +1,73 @@
+/**
+ * Follows the platform's host list and keeps the last good copy.
+ *
+ * The list comes by a slow poll of the platform and, through the relay, from other daemons, so that a daemon that can't
+ * reach the platform still learns its hosts. Only a higher version replaces the copy held.
+ */
+import type { Result } from "neverthrow";
+import type { Clock, HostRecord } from "../state/types.js";
+import type { RelayTopic } from "./relay.js";
+
+export type HostList = { version: number; hosts: HostRecord[]; };
+
+export type HostListFailure = { kind: "unavailable"; reason: string; };
+
+export type HostListFollower = {
+    current: () => HostList;
+    hosts: () => HostRecord[];
+    /** Takes a list from another daemon; one that is not newer is ignored. */
+    adopt: (list: HostList) => void;
+    /** Why the last poll failed; undefined when it succeeded. */
+    failure: () => string | undefined;
+};
+
+export type HostListOptions = {
+    /** Reads the list from the platform. */
+    read: (signal: AbortSignal) => Promise<Result<HostList, HostListFailure>>;
+    pollMilliseconds: number;
+    clock: Clock;
+    signal: AbortSignal;
+};
+
+/** Starts the task; it ends when `signal` aborts. */
+export const startHostListFollower = ({ read, pollMilliseconds, clock, signal }: HostListOptions): HostListFollower => {
+    let list: HostList = { version: -1, hosts: [] };
+    let failure: string | undefined;
+
+    const adopt = (newer: HostList): void => {
+        if (newer.version > list.version) {
+            list = newer;
+        }
+    };
+
+    const follow = async (): Promise<void> => {
+        while (!signal.aborted) {
+            const answer = await read(signal);
+            answer.match(adopt, () => undefined);
+            failure = answer.isErr() ? answer.error.reason : undefined;
+            await clock.sleep(pollMilliseconds, signal);
+        }
+    };
+    void follow();
+
+    return { current: () => list, hosts: () => list.hosts, adopt, failure: () => failure };
+};
+
+const versionOf = (digest: unknown): number =>
+    typeof digest === "object" && digest !== null && "version" in digest ? Number(digest.version) : -1;
+
+/** The relay's topic `hosts`; `decode` checks a list that a peer sent. */
+export const hostListTopic = (
+    follower: HostListFollower,
+    decode: (update: unknown) => HostList | undefined,
+): RelayTopic => ({
+    name: "hosts",
+    digest: () => ({ version: follower.current().version }),
+    newerThan: digest => follower.current().version > versionOf(digest) ? follower.current() : undefined,
+    accept: update => {
+        const list = decode(update);
+        if (list !== undefined) {
+            follower.adopt(list);
+        }
+    },
+});
--- a/src/programs/daemon.ts
+++ b/src/programs/daemon.ts
@@ -5,13 +5,12 @@
 import { readFileSync } from "node:fs";
 import type { z } from "zod";
 import { decodeCommentedFile, describeProblem } from "../protocol/commentedJson.js";
+import type { Tokens } from "../transport/daemonCore.js";
 import { operatorTokenVariable, peerTokenVariable } from "../transport/tokens.js";
 
 /** Exit status of a daemon whose settings file or environment is wrong. */
 const wrongSettingsStatus = 2;
 
-export type Tokens = { peerToken: string; operatorToken: string; };
-
 const readTokens = (environment: NodeJS.ProcessEnv): Result<Tokens, string[]> => {
     const peerToken = environment[peerTokenVariable];
     const operatorToken = environment[operatorTokenVariable];
--- a/src/protocol/daemonConfig.ts
+++ b/src/protocol/daemonConfig.ts
@@ -17,7 +17,10 @@
     host: z.string().min(1),
     availabilityZone: z.string().min(1),
     platform: url,
+    /** Addresses of daemons to ask while the platform can't be reached. */
     seeds: z.array(address).default([]),
+    /** How long the platform's log keeps a record. */
+    logRetentionMinutes: z.number().positive().default(1_440),
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
 };
 
@@ -32,5 +35,7 @@
     ]),
 });
 
+/** The part of the settings that every daemon has. */
+export type DaemonConfig = Pick<EntryConfig & AgentConfig, keyof typeof common>;
 export type EntryConfig = z.infer<typeof entryConfigSchema>;
 export type AgentConfig = z.infer<typeof agentConfigSchema>;
--- a/src/transport/agentDaemon.ts
+++ b/src/transport/agentDaemon.ts
@@ -3,17 +3,14 @@
  */
 import { Hono } from "hono";
 import { type AdmissionGate, createAdmissionGate, type GateSettings } from "../coordination/admissionGate.js";
-import { createMetrics } from "../coordination/metrics.js";
-import { startSettingsFollower } from "../coordination/settingsFollower.js";
 import { heartbeatIntervalMilliseconds } from "../protocol/attemptProtocol.js";
 import type { AgentConfig } from "../protocol/daemonConfig.js";
-import { createSettingsReader, type SettingsReader } from "../protocol/settingsReader.js";
-import type { SettingsRecord } from "../state/types.js";
+import type { SettingsReader } from "../protocol/settingsReader.js";
 import { addModelRoute, addServiceRoute } from "./attemptServer.js";
-import { addOperatorRoutes, requireToken } from "./daemonRoutes.js";
+import { startDaemonCore, type Tokens } from "./daemonCore.js";
+import { requireToken } from "./daemonRoutes.js";
 import { createEngineClient } from "./engineClient.js";
 import { listen, type NodeBindings } from "./httpServer.js";
-import { createLogClient } from "./logClient.js";
 import type { Logger } from "./logger.js";
 import { createServiceClient } from "./serviceClient.js";
 import { systemClock } from "./systemClock.js";
@@ -61,41 +58,19 @@
 };
 
 /** Starts an agent. */
-export const startAgent = async (
-    config: AgentConfig,
-    tokens: { peerToken: string; operatorToken: string; },
-    logger: Logger,
-): Promise<AgentDaemon> => {
+export const startAgent = async (config: AgentConfig, tokens: Tokens, logger: Logger): Promise<AgentDaemon> => {
     const stopping = new AbortController();
-    const { signal } = stopping;
-    const metrics = createMetrics();
-    const follower = startSettingsFollower({
-        stream: createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" }),
-        clock: systemClock,
-        random: Math.random,
-        signal,
-    });
-    const settings = createSettingsReader(follower.state);
+    const core = startDaemonCore(config, tokens, stopping.signal);
     const gate = createAdmissionGate({
         clock: systemClock,
-        settings: () => gateSettings(settings, config.upstream),
+        settings: () => gateSettings(core.settings, config.upstream),
     });
     const application = new Hono<NodeBindings>();
     application.use("/attempts/*", requireToken(tokens.peerToken));
     addAttemptRoutes(application, config, gate);
-    addOperatorRoutes(application, {
-        operatorToken: tokens.operatorToken,
-        metrics: metrics.text,
-        dump: () => ({
-            host: config.host,
-            availabilityZone: config.availabilityZone,
-            role: "agent",
-            upstream: config.upstream,
-            load: gate.load(),
-            settings: { ...follower.status(), unreadable: settings.unreadable() },
-        }),
-    });
+    core.addRoutes(application, () => ({ role: "agent", upstream: config.upstream, load: gate.load() }));
     const listener = await listen(application, config.listen);
+    core.startRelay(listener.address);
     return {
         address: listener.address,
         stop: async () => {
--- /dev/null
+++ b/src/transport/daemonCore.ts
@@ -0,0 +1,112 @@
+/**
+ * What an entry and an agent have in common: the followers of settings and hosts, the relay between daemons, the
+ * snapshot duty and the routes for peers and operators.
+ */
+import type { Hono } from "hono";
+import { type HostListFollower, hostListTopic, startHostListFollower } from "../coordination/hostListFollower.js";
+import { createMetrics, type Metrics } from "../coordination/metrics.js";
+import { type RelayTopic, startRelay } from "../coordination/relay.js";
+import { type SettingsFollower, startSettingsFollower } from "../coordination/settingsFollower.js";
+import { settingsTopic } from "../coordination/settingsTopic.js";
+import { runSnapshotDuty } from "../coordination/snapshotDuty.js";
+import { createZoneOrders } from "../coordination/zoneOrders.js";
+import type { DaemonConfig } from "../protocol/daemonConfig.js";
+import { decodeHostListUpdate } from "../protocol/hostListMessages.js";
+import { createSettingsReader, type SettingsReader } from "../protocol/settingsReader.js";
+import { decodeSettingsUpdate, decodeZoneOrders } from "../protocol/settingsUpdate.js";
+import type { SettingsRecord } from "../state/types.js";
+import { addOperatorRoutes } from "./daemonRoutes.js";
+import { readHostList } from "./hostListClient.js";
+import type { NodeBindings } from "./httpServer.js";
+import { createLogClient } from "./logClient.js";
+import { createPeerExchange } from "./peerClient.js";
+import { addOperatorProcedures, addPeerRoutes } from "./peerServer.js";
+import { systemClock } from "./systemClock.js";
+
+const hostListPollMilliseconds = 1_000;
+const millisecondsPerMinute = 60_000;
+
+export type Tokens = { peerToken: string; operatorToken: string; };
+
+export type DaemonCore = {
+    settings: SettingsReader;
+    follower: SettingsFollower;
+    hostList: HostListFollower;
+    /** Whether operators have taken the zone out, by an order given directly or by the settings. */
+    isZoneOut: (availabilityZone: string) => boolean;
+    metrics: Metrics;
+    /** Adds a topic to what the relay carries. */
+    addTopic: (topic: RelayTopic) => void;
+    /** Adds the routes for peers and operators; `describe` gives what the dump shows beyond the common parts. */
+    addRoutes: (application: Hono<NodeBindings>, describe: () => Record<string, unknown>) => void;
+    /** Starts the relay, once the daemon knows the address that its peers reach it by. */
+    startRelay: (ownAddress: string) => void;
+};
+
+/** Starts the followers; all tasks end when `signal` aborts. */
+export const startDaemonCore = (config: DaemonConfig, tokens: Tokens, signal: AbortSignal): DaemonCore => {
+    const clock = systemClock;
+    const metrics = createMetrics();
+    const stream = createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" });
+    const follower = startSettingsFollower({ stream, clock, random: Math.random, signal });
+    const settings = createSettingsReader(follower.state);
+    const hostList = startHostListFollower({
+        read: readSignal => readHostList(config.platform, readSignal),
+        pollMilliseconds: hostListPollMilliseconds,
+        clock,
+        signal,
+    });
+    const zoneOrders = createZoneOrders({ settings: follower.state, clock, decode: decodeZoneOrders });
+    const topics: RelayTopic[] = [
+        settingsTopic(follower, decodeSettingsUpdate),
+        hostListTopic(hostList, decodeHostListUpdate),
+        zoneOrders.topic,
+    ];
+    let relay: ReturnType<typeof startRelay> | undefined;
+    void runSnapshotDuty({
+        follower,
+        stream,
+        retention: { milliseconds: config.logRetentionMinutes * millisecondsPerMinute },
+        host: config.host,
+        hosts: () => hostList.hosts().map(({ host }) => host),
+        clock,
+        signal,
+    });
+
+    return {
+        settings,
+        follower,
+        hostList,
+        isZoneOut: availabilityZone => {
+            const ordered = zoneOrders.orderedState(availabilityZone);
+            return ordered === undefined ? settings.isZoneOut(availabilityZone) : ordered === "out";
+        },
+        metrics,
+        addTopic: topic => void topics.push(topic),
+        addRoutes: (application, describe) => {
+            addPeerRoutes(application, { topics }, tokens.peerToken);
+            addOperatorProcedures(application, { zoneOrders }, tokens.operatorToken);
+            addOperatorRoutes(application, {
+                operatorToken: tokens.operatorToken,
+                metrics: metrics.text,
+                dump: () => ({
+                    host: config.host,
+                    availabilityZone: config.availabilityZone,
+                    settings: { ...follower.status(), unreadable: settings.unreadable() },
+                    hostList: { ...hostList.current(), failure: hostList.failure() },
+                    zoneOrders: zoneOrders.inForce(),
+                    relay: relay?.status(),
+                    ...describe(),
+                }),
+            });
+        },
+        startRelay: ownAddress => {
+            const peers = (): string[] => {
+                const listed = hostList.hosts().filter(({ state }) => state === "live").map(({ address }) => address);
+                return [...new Set([...listed, ...config.seeds])].filter(address => address !== ownAddress);
+            };
+            const exchange = createPeerExchange(tokens.peerToken);
+            relay = startRelay({ topics, peers, exchange, clock, random: Math.random, signal });
+        },
+    };
+};
--- a/src/transport/entryDaemon.ts
+++ b/src/transport/entryDaemon.ts
@@ -5,19 +5,14 @@
 import { v7 as uuid } from "uuid";
 import type { AttemptEvent, TaskTools } from "../coordination/completionTask.js";
 import { runCompletion } from "../coordination/completionTask.js";
-import { createMetrics, type Metrics } from "../coordination/metrics.js";
+import type { Metrics } from "../coordination/metrics.js";
 import { runServiceCall } from "../coordination/serviceTask.js";
-import { startSettingsFollower } from "../coordination/settingsFollower.js";
 import { createSimpleChooser } from "../coordination/simpleChooser.js";
 import type { EntryConfig } from "../protocol/daemonConfig.js";
-import { createSettingsReader } from "../protocol/settingsReader.js";
-import type { SettingsRecord } from "../state/types.js";
 import { createAttemptClient } from "./attemptClient.js";
 import { type AnswerEvent, createCallerApplication } from "./callerServer.js";
-import { addOperatorRoutes } from "./daemonRoutes.js";
-import { startHostListFollower } from "./hostListFollower.js";
+import { startDaemonCore, type Tokens } from "./daemonCore.js";
 import { listen, type NodeBindings } from "./httpServer.js";
-import { createLogClient } from "./logClient.js";
 import type { Logger } from "./logger.js";
 import { systemClock } from "./systemClock.js";
 
@@ -49,33 +44,20 @@
 };
 
 /** Starts an entry; it serves as soon as it listens, with the settings that it has read so far. */
-export const startEntry = async (
-    config: EntryConfig,
-    tokens: { peerToken: string; operatorToken: string; },
-    logger: Logger,
-): Promise<EntryDaemon> => {
+export const startEntry = async (config: EntryConfig, tokens: Tokens, logger: Logger): Promise<EntryDaemon> => {
     const stopping = new AbortController();
-    const { signal } = stopping;
-    const clock = systemClock;
-    const metrics = createMetrics();
-    const follower = startSettingsFollower({
-        stream: createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" }),
-        clock,
-        random: Math.random,
-        signal,
-    });
-    const settings = createSettingsReader(follower.state);
-    const hostList = startHostListFollower(config.platform, clock, signal);
+    const core = startDaemonCore(config, tokens, stopping.signal);
+    const { settings, hostList, metrics } = core;
     const chooser = createSimpleChooser({
         availabilityZone: config.availabilityZone,
         hosts: hostList.hosts,
         groupsOfModel: settings.groupsOfModel,
-        isZoneOut: settings.isZoneOut,
+        isZoneOut: core.isZoneOut,
     });
     const tools: TaskTools = {
         chooser,
         attempts: createAttemptClient(tokens.peerToken),
-        clock,
+        clock: systemClock,
         newId: uuid,
         takeRetry: () => true,
         onAttempt: recordAttempt(metrics, logger),
@@ -83,26 +65,17 @@
     const callers = createCallerApplication({
         host: config.host,
         settings,
-        now: clock.now,
+        now: systemClock.now,
         newId: uuid,
         complete: (work, limits, onToken, gone) => runCompletion(tools, work, limits, onToken, gone),
         callService: (work, limits, gone) => runServiceCall(tools, work, limits, gone),
         onAnswer: recordAnswer(metrics, logger),
     });
     const control = new Hono<NodeBindings>();
-    addOperatorRoutes(control, {
-        operatorToken: tokens.operatorToken,
-        metrics: metrics.text,
-        dump: () => ({
-            host: config.host,
-            availabilityZone: config.availabilityZone,
-            role: "entry",
-            settings: { ...follower.status(), unreadable: settings.unreadable() },
-            hostList: { version: hostList.current().version, failure: hostList.failure(), hosts: hostList.hosts() },
-        }),
-    });
+    core.addRoutes(control, () => ({ role: "entry" }));
     const callerListener = await listen(callers, config.listen);
     const controlListener = await listen(control, config.control);
+    core.startRelay(controlListener.address);
     return {
         address: callerListener.address,
         control: controlListener.address,
