--- /dev/null
+++ b/src/coordination/retryBudget.ts
@@ -0,0 +1,47 @@
+/**
+ * Bounds the retries of one entry to a part of its requests, so that retries can't multiply an overload.
+ *
+ * Each first attempt adds `ratio` of a retry, up to a ceiling. A small allowance comes back with time alone, so that an
+ * entry with little traffic can still retry.
+ */
+import type { Clock } from "../state/types.js";
+
+export type RetryBudget = {
+    /** Counts a request's first attempt. */
+    recordRequest: () => void;
+    /** Takes one retry; false when the budget is spent. */
+    takeRetry: () => boolean;
+};
+
+const reservedRetries = 10;
+const reservedRetriesPerSecond = 1;
+const largestBalance = 100;
+
+/** `ratio` gives the retries allowed for each request, as the settings now have it. */
+export const createRetryBudget = (clock: Pick<Clock, "now">, ratio: () => number): RetryBudget => {
+    let balance = reservedRetries;
+    let refilledAt = clock.now();
+
+    const refillReserve = (): void => {
+        const now = clock.now();
+        const refill = (now - refilledAt) / 1_000 * reservedRetriesPerSecond;
+        refilledAt = now;
+        if (balance < reservedRetries) {
+            balance = Math.min(reservedRetries, balance + refill);
+        }
+    };
+
+    return {
+        recordRequest: () => {
+            balance = Math.min(largestBalance, balance + ratio());
+        },
+        takeRetry: () => {
+            refillReserve();
+            if (balance < 1) {
+                return false;
+            }
+            balance -= 1;
+            return true;
+        },
+    };
+};
--- /dev/null
+++ b/tests/upstreamDirectory.test.ts
@@ -0,0 +1,186 @@
+import { expect } from "chai";
+import { err, ok, type Result } from "neverthrow";
+import { chooseUpstream } from "../src/coordination/chooseUpstream.js";
+import { createUpstreamDirectory } from "../src/coordination/upstreamDirectory.js";
+import { startUpstreamWatch } from "../src/coordination/upstreamWatch.js";
+import type { HostRecord, LoadReport } from "../src/state/types.js";
+import { seededRandom } from "./support/seededRandom.js";
+import { virtualClock } from "./support/virtualClock.js";
+
+const target = "groups/council";
+const noHosts: ReadonlySet<string> = new Set();
+
+const upstream = (rank: number, availabilityZone: string, state: HostRecord["state"] = "live"): HostRecord => ({
+    host: `${availabilityZone}-${rank}`,
+    availabilityZone,
+    role: "upstream",
+    state,
+    address: `127.0.0.1:${9000 + rank}`,
+    serves: { kind: "group", group: "council", rank },
+});
+
+const warm = (takenAt: number, overrides: Partial<LoadReport> = {}): LoadReport => ({
+    state: "warm",
+    incarnation: "first",
+    running: 0,
+    limit: 8,
+    outstandingTokens: 0,
+    tokensPerSecond: 400,
+    takenAt,
+    ...overrides,
+});
+
+const createDirectory = (hosts = [upstream(0, "medina"), upstream(1, "medina"), upstream(2, "ifrane")]) => {
+    const clock = virtualClock(1_000);
+    const random = seededRandom(7);
+    const zonesOut = new Set<string>();
+    const directory = createUpstreamDirectory({
+        clock,
+        host: "entry-1",
+        availabilityZone: "medina",
+        isZoneOut: zone => zonesOut.has(zone),
+    });
+    directory.replaceHosts(1, hosts);
+    hosts.forEach(({ host }) => directory.observeLoad(host, warm(clock.now())));
+    const choose = (avoided = noHosts, prefix?: string) =>
+        chooseUpstream(directory.upstreams(target), {
+            tokens: 100,
+            avoided,
+            ...(prefix === undefined ? {} : { prefix }),
+        }, random)
+            .map(view => view.record.host);
+    const chooseMany = (): Set<string> => new Set(Array.from({ length: 50 }, () => choose().unwrapOr("nothing")));
+    return { clock, directory, zonesOut, choose, chooseMany };
+};
+
+describe("upstream directory and choice", () => {
+    it("stays in its own zone while that has a free place, then goes on to others", () => {
+        const { directory, chooseMany, choose } = createDirectory();
+        expect(chooseMany()).to.deep.equal(new Set(["medina-0", "medina-1"]));
+        for (let call = 0; call < 8; call += 1) {
+            directory.begin("medina-0", 100);
+            directory.begin("medina-1", 100);
+        }
+        expect(chooseMany()).to.deep.equal(new Set(["ifrane-2"]));
+        for (let call = 0; call < 8; call += 1) {
+            directory.begin("ifrane-2", 100);
+        }
+        expect(choose()._unsafeUnwrapErr()).to.equal("full");
+    });
+
+    for (
+        const [word, speak] of Object.entries(
+            {
+                "the settings take its zone out": ({ zonesOut }) => zonesOut.add("medina"),
+                "the host list says that it leaves": ({ directory }) =>
+                    directory.replaceHosts(2, [
+                        upstream(0, "medina", "leaving"),
+                        upstream(1, "medina", "leaving"),
+                        upstream(2, "ifrane"),
+                    ]),
+                "the host list drops it": ({ directory }) => directory.replaceHosts(2, [upstream(2, "ifrane")]),
+                "its agent drains": ({ directory }) =>
+                    ["medina-0", "medina-1"].forEach(host =>
+                        directory.observeLoad(host, warm(1_001, { state: "draining" }))
+                    ),
+                "its engine is down": ({ directory }) =>
+                    ["medina-0", "medina-1"].forEach(host =>
+                        directory.observeLoad(host, warm(1_001, { state: "down" }))
+                    ),
+                "a call to it failed": ({ directory }) => ["medina-0", "medina-1"].forEach(directory.observeFailure),
+            } satisfies Record<string, (world: ReturnType<typeof createDirectory>) => unknown>,
+        )
+    ) {
+        it(`sends an upstream nothing once ${word}, though all other words are good`, () => {
+            const world = createDirectory();
+            speak(world);
+            expect(world.chooseMany()).to.deep.equal(new Set(["ifrane-2"]));
+        });
+    }
+
+    it("passes over a host list and a load report older than those it has", () => {
+        const { directory, chooseMany } = createDirectory();
+        directory.replaceHosts(3, [upstream(0, "medina", "leaving"), upstream(1, "medina"), upstream(2, "ifrane")]);
+        directory.replaceHosts(2, [upstream(0, "medina"), upstream(1, "medina"), upstream(2, "ifrane")]);
+        directory.observeLoad("medina-1", warm(2_000, { state: "draining" }));
+        directory.observeLoad("medina-1", warm(1_500));
+        expect(chooseMany()).to.deep.equal(new Set(["ifrane-2"]));
+    });
+
+    it("avoids the hosts that failed the request, unless no other takes work", () => {
+        const { choose } = createDirectory([upstream(0, "medina"), upstream(1, "medina")]);
+        expect(choose(new Set(["medina-0"]))._unsafeUnwrap()).to.equal("medina-1");
+        expect(choose(new Set(["medina-0", "medina-1"])).isOk()).to.equal(true);
+    });
+
+    it("keeps a prefix on one upstream until that is loaded well above the mean", () => {
+        const { directory, choose } = createDirectory();
+        const home = choose(noHosts, "tender notices")._unsafeUnwrap();
+        const choices = Array.from({ length: 20 }, () => choose(noHosts, "tender notices")._unsafeUnwrap());
+        expect(new Set(choices)).to.deep.equal(new Set([home]));
+        for (let call = 0; call < 5; call += 1) {
+            directory.begin(home, 300);
+        }
+        expect(choose(noHosts, "tender notices")._unsafeUnwrap()).not.to.equal(home);
+    });
+
+    it("prefers the faster of two upstreams with equal work", () => {
+        const { directory, clock, chooseMany } = createDirectory();
+        const running = { running: 2, outstandingTokens: 400 };
+        directory.observeLoad("medina-0", warm(clock.now(), { ...running, tokensPerSecond: 240 }));
+        directory.observeLoad("medina-1", warm(clock.now(), running));
+        expect(chooseMany()).to.deep.equal(new Set(["medina-1"]));
+    });
+
+    it("believes an old report about others' work less and less", () => {
+        const { directory, clock } = createDirectory();
+        directory.observeLoad("medina-0", warm(clock.now(), { running: 8, outstandingTokens: 800 }));
+        const estimate = () => directory.upstreams(target)[0]!.outstandingTokens;
+        expect(estimate()).to.equal(800);
+        clock.advance(20_000);
+        expect(estimate()).to.be.closeTo(800 / 3, 1);
+    });
+
+    it("watches its own zone and a small part of the others", () => {
+        const others = [...Array(40).keys()].map(rank => upstream(rank, "ifrane"));
+        const { directory } = createDirectory([...others, upstream(0, "medina"), upstream(1, "medina")]);
+        expect(directory.watched()).to.have.length(10);
+    });
+});
+
+describe("upstream watch", () => {
+    const settle = () => new Promise(resolve => setImmediate(resolve));
+
+    it("polls the silent, probes the suspected at once, and takes it back when it answers", async () => {
+        const { clock, directory, chooseMany } = createDirectory();
+        const stop = new AbortController();
+        const probes: string[] = [];
+        let frozen = true;
+        const probe = async ({ host }: HostRecord): Promise<Result<LoadReport, string>> => {
+            probes.push(host);
+            return host === "medina-0" && frozen ? err("timeout") : ok(warm(clock.now()));
+        };
+        startUpstreamWatch({ directory, probe, clock, random: seededRandom(1) }, stop.signal);
+        const advance = async (milliseconds: number) => {
+            for (let elapsed = 0; elapsed < milliseconds; elapsed += 50) {
+                clock.advance(50);
+                await settle();
+            }
+        };
+        await settle();
+        expect(probes).to.deep.equal([]);
+
+        await advance(1_000);
+        expect(probes.sort()).to.deep.equal(["ifrane-2", "medina-0", "medina-1"]);
+        expect(chooseMany()).to.deep.equal(new Set(["medina-1"]));
+
+        frozen = false;
+        await advance(300);
+        expect(chooseMany()).to.deep.equal(new Set(["medina-0", "medina-1"]));
+        stop.abort();
+        await settle();
+        const { length } = probes;
+        await advance(5_000);
+        expect(probes).to.have.length(length);
+    });
+});
