Claim non-idempotent requests on the log so that each key runs at most once

An agent appends a claim before it runs a request and runs it only when it has read the claim back as the first of its key. The fold decides by the log's order and the log's clock alone; an attempt that can't be settled in time is given up and released. Group commit puts all claims that wait into one append.

--- /dev/null
+++ b/src/coordination/groupCommit.ts
@@ -0,0 +1,146 @@
+/**
+ * Group commit: one append to a stream carries every entry that came in while the append before it was in flight.
+ *
+ * At most one append is in flight, and two appends start at least one interval apart. An entry that finds the writer
+ * idle is appended at once. The interval doubles whenever the log turns an append away and shrinks again with each
+ * success, so that many writers share a log of limited rate without a coordinator.
+ */
+import { err, type Result } from "neverthrow";
+import type { Clock } from "../state/types.js";
+import { createChanges } from "./changes.js";
+import type { AppendFailure } from "./logStream.js";
+
+export type GroupCommitLimits = {
+    entriesPerAppend: number;
+    bytesPerAppend: number;
+    /** Entries that may wait for an append. */
+    waitingEntries: number;
+    /** Least time between the starts of two appends. */
+    intervalMilliseconds: number;
+    /** How long an append may stay without an answer. */
+    appendTimeoutMilliseconds: number;
+};
+
+export const defaultGroupCommitLimits: GroupCommitLimits = {
+    entriesPerAppend: 1_024,
+    bytesPerAppend: 262_144,
+    waitingEntries: 16_384,
+    intervalMilliseconds: 20,
+    appendTimeoutMilliseconds: 5_000,
+};
+
+const longestIntervalMilliseconds = 500;
+const intervalDecay = 0.8;
+const idleMilliseconds = 60_000;
+const queueChange = "queue";
+
+export type GroupCommitOptions<Entry> = {
+    clock: Clock;
+    limits: GroupCommitLimits;
+    append: (entries: Entry[], signal: AbortSignal) => Promise<Result<number, AppendFailure>>;
+    /** Size of an entry in the record, in bytes. */
+    sizeOf: (entry: Entry) => number;
+    /** Called as an entry goes into an append; `false` drops the entry instead. */
+    onSend: (entry: Entry) => boolean;
+    onTaken: (entries: Entry[]) => void;
+    /** Gives the entries that are to be appended again. */
+    onFailure: (entries: Entry[], failure: AppendFailure) => Entry[];
+};
+
+export type GroupCommit<Entry> = {
+    /** Queues `entry`, or says `false` when too many entries wait. */
+    submit: (entry: Entry) => boolean;
+    /** Queues `entry` even when too many wait; for the entries that follow from one admitted earlier. */
+    submitAlways: (entry: Entry) => void;
+    waiting: () => number;
+    /** Appends what is queued until `signal` aborts. */
+    run: (signal: AbortSignal) => Promise<void>;
+};
+
+export const createGroupCommit = <Entry>(options: GroupCommitOptions<Entry>): GroupCommit<Entry> => {
+    const { clock, limits } = options;
+    const changes = createChanges(clock);
+    let queue: Entry[] = [];
+    let inFlight = 0;
+    let interval = limits.intervalMilliseconds;
+    let nextStartAt = -Infinity;
+
+    const submitAlways = (entry: Entry): void => {
+        queue.push(entry);
+        changes.announce(queueChange);
+    };
+
+    const submit = (entry: Entry): boolean => {
+        if (queue.length >= limits.waitingEntries) {
+            return false;
+        }
+        submitAlways(entry);
+        return true;
+    };
+
+    const takeBatch = (): Entry[] => {
+        const batch: Entry[] = [];
+        let bytes = 0;
+        let taken = 0;
+        for (const entry of queue) {
+            const size = options.sizeOf(entry);
+            if (batch.length === limits.entriesPerAppend || batch.length > 0 && bytes + size > limits.bytesPerAppend) {
+                break;
+            }
+            taken++;
+            if (options.onSend(entry)) {
+                batch.push(entry);
+                bytes += size;
+            }
+        }
+        queue = queue.slice(taken);
+        return batch;
+    };
+
+    const appendInTime = async (batch: Entry[], signal: AbortSignal): Promise<Result<number, AppendFailure>> => {
+        const append = new AbortController();
+        const stop = (): void => append.abort();
+        signal.addEventListener("abort", stop, { once: true });
+        const timeout = clock.sleep(limits.appendTimeoutMilliseconds, append.signal).then(() =>
+            err<number, AppendFailure>({ kind: "unknown", reason: "the append got no answer in time" })
+        );
+        const appended = await Promise.race([options.append(batch, append.signal), timeout]);
+        signal.removeEventListener("abort", stop);
+        append.abort();
+        return appended;
+    };
+
+    const settle = (batch: Entry[], appended: Result<number, AppendFailure>): void => {
+        if (appended.isOk()) {
+            interval = Math.max(limits.intervalMilliseconds, interval * intervalDecay);
+            options.onTaken(batch);
+            return;
+        }
+        interval = Math.min(Math.max(interval, limits.intervalMilliseconds) * 2, longestIntervalMilliseconds);
+        nextStartAt = clock.now() + interval;
+        queue = [...options.onFailure(batch, appended.error), ...queue];
+    };
+
+    const run = async (signal: AbortSignal): Promise<void> => {
+        while (!signal.aborted) {
+            if (queue.length === 0) {
+                await changes.wait(queueChange, idleMilliseconds, signal);
+                continue;
+            }
+            const pause = nextStartAt - clock.now();
+            if (pause > 0) {
+                await clock.sleep(pause, signal);
+                continue;
+            }
+            const batch = takeBatch();
+            if (batch.length > 0) {
+                nextStartAt = clock.now() + interval;
+                inFlight = batch.length;
+                settle(batch, await appendInTime(batch, signal));
+                inFlight = 0;
+            }
+        }
+    };
+
+    return { submit, submitAlways, waiting: () => queue.length + inFlight, run };
+};
--- a/src/state/errors.ts
+++ b/src/state/errors.ts
@@ -31,6 +31,7 @@
     ),
     "invalid-idempotency-key": entry(400, "not-run", key => `Idempotency-Key "${key}" is not a UUID version 7`),
     "expired-idempotency-key": entry(409, "not-run", key => `Idempotency-Key "${key}" is older than the claim window`),
+    "future-idempotency-key": entry(400, "not-run", key => `Idempotency-Key "${key}" was made in the future`),
     "idempotency-key-reused": entry(422, "not-run", key => `Idempotency-Key "${key}" was used with another body`),
     "over-limit": entry(429, "not-run", account => `client account "${account}" is over its limit`),
     "quarantined": entry(422, "not-run", digest => `request ${digest} is quarantined: it crashed upstreams`),
--- /dev/null
+++ b/tests/atMostOnce.test.ts
@@ -0,0 +1,239 @@
+/**
+ * Non-idempotent requests run at most once, whatever happens to the log and to the agents.
+ *
+ * The record of runs that the service keeps is the judge.
+ */
+import { expect } from "chai";
+import type { ClaimFleet } from "./support/claimFleet.js";
+import { claimFleet, outcomeOf, startOfTests, testWindow } from "./support/claimFleet.js";
+import { keyAt } from "./support/keys.js";
+import type { AppendFate } from "./support/memoryLog.js";
+
+const key = keyAt(startOfTests);
+const receipt = `receipt 1 for ${key}`;
+
+describe("at most once", () => {
+    let fleet: ClaimFleet;
+
+    beforeEach(() => {
+        fleet = claimFleet();
+    });
+
+    afterEach(() => fleet.stop());
+
+    const nextFates = (...fates: AppendFate[]): void => {
+        fleet.log.fate = () => fates.shift() ?? "taken";
+    };
+
+    it("runs a key once and replays its answer, also through another agent and after a restart", async () => {
+        const [one, two] = [fleet.start("one"), fleet.start("two")];
+        await fleet.clock.run(100);
+        const sends = [fleet.send(one, key), fleet.send(two, key), fleet.send(one, key.toUpperCase())];
+        await fleet.clock.run(200);
+        const restarted = fleet.start("one again");
+        await fleet.clock.run(100);
+        sends.push(fleet.send(restarted, key));
+        await fleet.clock.run(100);
+
+        expect(sends.map(outcomeOf)).to.deep.equal([receipt, receipt, receipt, receipt]);
+        expect(fleet.runs).to.have.length(1);
+    });
+
+    it("runs a claim whose append took effect but lost its answer", async () => {
+        const one = fleet.start("one");
+        await fleet.clock.run(100);
+        nextFates("answer-lost");
+        const send = fleet.send(one, key);
+        await fleet.clock.run(200);
+
+        expect(outcomeOf(send)).to.equal(receipt);
+    });
+
+    it("refuses at once while the log is down, and takes requests again when it is back", async () => {
+        const one = fleet.start("one");
+        await fleet.clock.run(100);
+        fleet.log.readable = false;
+        fleet.log.fate = () => "turned-away";
+        const first = fleet.send(one, key);
+        await fleet.clock.run(600);
+        const second = fleet.send(one, keyAt(startOfTests, 2));
+        await fleet.clock.run(1);
+        expect([outcomeOf(first), outcomeOf(second)]).to.deep.equal([
+            "not-run: log-unavailable",
+            "not-run: log-unavailable",
+        ]);
+        expect(first.ended!.at - startOfTests).to.be.below(600);
+
+        fleet.log.readable = true;
+        fleet.log.fate = () => "taken";
+        await fleet.clock.run(2_000);
+        const third = fleet.send(one, key);
+        await fleet.clock.run(200);
+        expect(outcomeOf(third)).to.equal(receipt);
+    });
+
+    it("never runs an attempt that it refused, though the claim turns up late; another agent may then", async () => {
+        const [one, two] = [fleet.start("one"), fleet.start("two")];
+        await fleet.clock.run(100);
+        fleet.log.fate = () => "late";
+        const first = fleet.send(one, key, 500);
+        await fleet.clock.run(600);
+        expect(outcomeOf(first)).to.equal("not-run: log-unavailable");
+
+        fleet.log.fate = () => "taken";
+        await fleet.clock.run(10_000);
+        expect(fleet.runs).to.deep.equal([]);
+        const second = fleet.send(two, key);
+        await fleet.clock.run(200);
+        expect(outcomeOf(second)).to.equal(receipt);
+    });
+
+    it("survives a log that takes two seconds an append", async () => {
+        const one = fleet.start("one");
+        await fleet.clock.run(100);
+        fleet.log.appendMilliseconds = () => 2_000;
+        const send = fleet.send(one, key, 5_000);
+        await fleet.clock.run(5_000);
+
+        expect(outcomeOf(send)).to.equal(receipt);
+    });
+
+    it("says unknown, and runs nothing, when the agent died between its claim and its run", async () => {
+        const [one, two] = [fleet.start("one"), fleet.start("two")];
+        await fleet.clock.run(100);
+        fleet.log.readMilliseconds = () => 50;
+        const first = fleet.send(one, key);
+        await fleet.clock.run(10);
+        one.kill();
+        await fleet.clock.run(100);
+        const second = fleet.send(two, key, 1_000);
+        await fleet.clock.run(5_000);
+
+        expect([outcomeOf(first), outcomeOf(second)]).to.deep.equal([undefined, "unknown: outcome-unknown"]);
+        expect(fleet.log.records).to.have.length(1);
+        expect(fleet.runs).to.deep.equal([]);
+    });
+
+    it("says unknown, and does not run again, when the agent died between its run and its answer", async () => {
+        const [one, two] = [fleet.start("one"), fleet.start("two")];
+        await fleet.clock.run(100);
+        fleet.send(one, key);
+        await fleet.clock.run(10);
+        expect(fleet.runs).to.have.length(1);
+        // The agent is gone before the service answers; nothing that it still does reaches the log.
+        fleet.log.fate = () => "lost";
+        one.kill();
+        const second = fleet.send(two, key, 1_000);
+        await fleet.clock.run(5_000);
+
+        expect(outcomeOf(second)).to.equal("unknown: outcome-unknown");
+        expect(fleet.runs).to.have.length(1);
+    });
+
+    it("runs nothing after a pause that outlasts the request", async () => {
+        const [one, two] = [fleet.start("one"), fleet.start("two")];
+        await fleet.clock.run(100);
+        fleet.log.readMilliseconds = () => 50;
+        fleet.send(one, key, 1_000);
+        await fleet.clock.run(10);
+        one.pause();
+        await fleet.clock.run(60_000);
+        one.resume();
+        await fleet.clock.run(1_000);
+        expect(fleet.runs).to.deep.equal([]);
+
+        const second = fleet.send(two, key);
+        await fleet.clock.run(200);
+        expect(outcomeOf(second)).to.equal(receipt);
+    });
+
+    it("runs nothing when retention dropped records that a paused agent could not read", async () => {
+        const [one, two] = [fleet.start("one"), fleet.start("two")];
+        await fleet.clock.run(100);
+        fleet.log.readable = false;
+        const first = fleet.send(two, key);
+        const second = fleet.send(one, key, 3_600_000);
+        await fleet.clock.run(10);
+        fleet.log.readable = true;
+        one.pause();
+        await fleet.clock.run(1_000);
+        expect(outcomeOf(first)).to.equal(receipt);
+        fleet.log.dropBelow(fleet.log.records.findLast(({ body }) => body.agent === "one")!.offset);
+        one.resume();
+        await fleet.clock.run(1_000);
+
+        expect(outcomeOf(second)).to.equal("not-run: log-unavailable");
+        expect(fleet.runs).to.have.length(1);
+    });
+
+    it("refuses keys whose claims retention may have dropped", async () => {
+        const one = fleet.start("one");
+        await fleet.clock.run(100);
+        fleet.send(one, key);
+        await fleet.clock.run(testWindow.length - 1_000);
+        fleet.send(one, keyAt(fleet.clock.now(), 2));
+        await fleet.clock.run(500);
+        fleet.log.dropBelow(2);
+        const restarted = fleet.start("restarted");
+        await fleet.clock.run(100);
+        const resend = fleet.send(restarted, key);
+        await fleet.clock.run(200);
+
+        expect(outcomeOf(resend)).to.equal("not-run: expired-idempotency-key");
+        expect(fleet.runs).to.have.length(2);
+    });
+
+    it("lets no claim hold a key that was out of the window when the log took it", async () => {
+        const one = fleet.start("one");
+        await fleet.clock.run(100);
+        fleet.log.appendMilliseconds = () => 4_000;
+        const send = fleet.send(one, keyAt(startOfTests + 100 - testWindow.length + 1_000), 8_000);
+        await fleet.clock.run(10_000);
+
+        expect(outcomeOf(send)).to.equal("not-run: expired-idempotency-key");
+        expect(fleet.runs).to.deep.equal([]);
+    });
+
+    const badKeys: [string, string, string][] = [
+        ["is not a UUID", "tender-notice", "not-run: invalid-idempotency-key"],
+        ["carries no time", "9b2e4c0e-61a5-4a0c-8d6c-8a3c7b0f5a11", "not-run: invalid-idempotency-key"],
+        ["is too old", keyAt(startOfTests - testWindow.length), "not-run: expired-idempotency-key"],
+        ["lies in the future", keyAt(startOfTests + 60_000), "not-run: future-idempotency-key"],
+    ];
+    badKeys.forEach(([what, badKey, expected]) =>
+        it(`refuses a key that ${what}`, async () => {
+            const one = fleet.start("one");
+            await fleet.clock.run(100);
+            const send = fleet.send(one, badKey);
+            await fleet.clock.run(100);
+
+            expect(outcomeOf(send)).to.equal(expected);
+            expect(fleet.log.records).to.deep.equal([]);
+        })
+    );
+
+    it("refuses a key that was used with another body", async () => {
+        const [one, two] = [fleet.start("one"), fleet.start("two")];
+        await fleet.clock.run(100);
+        fleet.send(one, key);
+        const sends = [fleet.send(one, key, 1_000, "other digest")];
+        await fleet.clock.run(100);
+        sends.push(fleet.send(two, key, 1_000, "other digest"));
+        await fleet.clock.run(100);
+
+        expect(sends.map(outcomeOf)).to.deep.equal(Array(2).fill("not-run: idempotency-key-reused"));
+        expect(fleet.runs).to.have.length(1);
+    });
+
+    it("puts the claims that arrive during an append into the next one", async () => {
+        const one = fleet.start("one");
+        await fleet.clock.run(100);
+        const sends = Array.from({ length: 200 }, (_, number) => fleet.send(one, keyAt(startOfTests, number)));
+        await fleet.clock.run(200);
+
+        expect(fleet.runs).to.have.length(200);
+        expect(sends.every(send => send.ended?.result.isOk())).to.equal(true);
+        const claims = fleet.log.records.filter(({ body }) => body.entries.some(({ kind }) => kind === "claim"));
+        expect(claims).to.have.length(1);
+    });
+});
--- /dev/null
+++ b/tests/support/claimFleet.ts
@@ -0,0 +1,133 @@
+/**
+ * Agents with real claim keepers beside one plain service, over a log in memory and a stepped clock.
+ *
+ * The service's own record of runs is the judge. An agent can be paused, which stops everything it does until it is
+ * resumed, and killed, which stops it for good.
+ */
+import { ok, type Result } from "neverthrow";
+import { setMaxListeners } from "node:events";
+import { type ClaimKeeper, createClaimKeeper } from "../../src/coordination/claimKeeper.js";
+import type { LogStream } from "../../src/coordination/logStream.js";
+import { runAtMostOnce } from "../../src/coordination/runAtMostOnce.js";
+import type { ClaimBatch, ClaimWindow, StoredAnswer } from "../../src/state/claimFold.js";
+import type { Refusal } from "../../src/state/errors.js";
+import type { Clock } from "../../src/state/types.js";
+import { type MemoryLog, memoryLog } from "./memoryLog.js";
+import { type SteppedClock, steppedClock } from "./steppedClock.js";
+
+export const startOfTests = Date.UTC(2030, 0, 1);
+
+export const testWindow: ClaimWindow = { length: 600_000, clockSkew: 10_000 };
+
+/** One run in the service's record. */
+export type ServiceRun = { key: string; send: string; agent: string; at: number; };
+
+/** One request on its way through an agent; `ended` stays unset while the agent says nothing. */
+export type Send = { id: string; key: string; agent: string; deadline: number; ended?: Ending; };
+
+export type Ending = { at: number; result: Result<StoredAnswer, Refusal>; };
+
+export type FleetAgent = {
+    name: string;
+    keeper: ClaimKeeper;
+    pause: () => void;
+    resume: () => void;
+    kill: () => void;
+};
+
+export type ClaimFleet = {
+    clock: SteppedClock;
+    log: MemoryLog<ClaimBatch>;
+    runs: ServiceRun[];
+    sends: Send[];
+    /** How long a run takes, in milliseconds. */
+    runMilliseconds: number;
+    /** Starts an agent with nothing. */
+    start: (name: string) => FleetAgent;
+    send: (agent: FleetAgent, key: string, patience?: number, digest?: string) => Send;
+    stop: () => void;
+};
+
+type Gate = { pass: () => Promise<void>; close: () => void; open: () => void; };
+
+const createGate = (): Gate => {
+    let opened = Promise.resolve();
+    let open = (): void => undefined;
+    return {
+        pass: () => opened,
+        close: () => {
+            opened = new Promise(resolve => open = resolve);
+        },
+        open: () => open(),
+    };
+};
+
+// Whatever comes back to a paused process is seen only once it runs again.
+const throughGate = (stream: LogStream<ClaimBatch>, clock: Clock, gate: Gate): [LogStream<ClaimBatch>, Clock] => {
+    const delayed = async <Value>(value: Promise<Value>): Promise<Value> => {
+        const settled = await value;
+        await gate.pass();
+        return settled;
+    };
+    return [
+        {
+            name: stream.name,
+            append: (body, signal) => delayed(stream.append(body, signal)),
+            read: (from, wait, signal) => delayed(stream.read(from, wait, signal)),
+        },
+        {
+            now: clock.now,
+            sleep: (milliseconds, signal) => delayed(clock.sleep(milliseconds, signal)),
+        },
+    ];
+};
+
+export const claimFleet = (): ClaimFleet => {
+    const controller = new AbortController();
+    const { signal } = controller;
+    setMaxListeners(0, signal);
+    const clock = steppedClock(startOfTests);
+    const log = memoryLog<ClaimBatch>(clock, signal);
+
+    const start = (name: string): FleetAgent => {
+        const gate = createGate();
+        const [stream, agentClock] = throughGate(log.open(), clock, gate);
+        const keeper = createClaimKeeper({ stream, clock: agentClock, agent: name, window: testWindow });
+        void keeper.run(signal);
+        return { name, keeper, pause: gate.close, resume: gate.open, kill: gate.close };
+    };
+
+    const runService = async (send: Send): Promise<Result<StoredAnswer, never>> => {
+        fleet.runs.push({ key: send.key, send: send.id, agent: send.agent, at: clock.now() });
+        const body = `receipt ${fleet.runs.length} for ${send.key}`;
+        await clock.sleep(fleet.runMilliseconds, signal);
+        return ok({ status: 200, body });
+    };
+
+    const send = (agent: FleetAgent, key: string, patience = 3_000, digest = "digest"): Send => {
+        const deadline = clock.now() + patience;
+        const sent: Send = { id: `send ${fleet.sends.length}`, key, agent: agent.name, deadline };
+        fleet.sends.push(sent);
+        void runAtMostOnce(agent.keeper, "dispatch", { key, digest, deadline }, () => runService(sent), signal)
+            .then(result => {
+                sent.ended = { at: clock.now(), result };
+            });
+        return sent;
+    };
+
+    const fleet: ClaimFleet = {
+        clock,
+        log,
+        runs: [],
+        sends: [],
+        runMilliseconds: 20,
+        start,
+        send,
+        stop: () => controller.abort(),
+    };
+    return fleet;
+};
+
+/** Outcome of a send as its caller hears it; `undefined` while nothing is said. */
+export const outcomeOf = ({ ended }: Send): string | undefined =>
+    ended?.result.match(answer => answer.body, ({ code, outcome }) => `${outcome}: ${code}`);
--- /dev/null
+++ b/tests/support/keys.ts
@@ -0,0 +1,8 @@
+/**
+ * Idempotency keys with a chosen time and number.
+ */
+import { v7 } from "uuid";
+
+/** A UUID of version 7 made at `time`; equal arguments give the same key. */
+export const keyAt = (time: number, number = 0): string =>
+    v7({ msecs: time, seq: 0, random: Uint8Array.from({ length: 16 }, (_, index) => index === 15 ? number : 1) });
--- /dev/null
+++ b/tests/support/steppedClock.ts
@@ -0,0 +1,53 @@
+/**
+ * A clock that moves from sleeper to sleeper, and lets all other work finish before each step.
+ */
+import type { Clock } from "../../src/state/types.js";
+
+export type SteppedClock = Clock & {
+    /** Moves time on by `milliseconds`, waking each sleeper at its own time. */
+    run: (milliseconds: number) => Promise<void>;
+};
+
+type Sleeper = { wakeAt: number; wake: () => void; };
+
+const settle = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
+export const steppedClock = (startAt: number): SteppedClock => {
+    const sleepers = new Set<Sleeper>();
+    let now = startAt;
+
+    const sleep = (milliseconds: number, signal: AbortSignal): Promise<void> =>
+        new Promise(resolve => {
+            if (signal.aborted) {
+                resolve();
+                return;
+            }
+            const wake = (): void => {
+                sleepers.delete(sleeper);
+                signal.removeEventListener("abort", wake);
+                resolve();
+            };
+            const sleeper = { wakeAt: now + milliseconds, wake };
+            sleepers.add(sleeper);
+            signal.addEventListener("abort", wake);
+        });
+
+    const earliest = (): Sleeper | undefined =>
+        [...sleepers].reduce<Sleeper | undefined>(
+            (first, sleeper) => first === undefined || sleeper.wakeAt < first.wakeAt ? sleeper : first,
+            undefined,
+        );
+
+    const run = async (milliseconds: number): Promise<void> => {
+        const end = now + milliseconds;
+        await settle();
+        for (let next = earliest(); next !== undefined && next.wakeAt <= end; next = earliest()) {
+            now = Math.max(now, next.wakeAt);
+            next.wake();
+            await settle();
+        }
+        now = end;
+    };
+
+    return { now: () => now, sleep, run };
+};
