--- a/tests/atMostOnce.test.ts
+++ b/tests/atMostOnce.test.ts
@@ -6,8 +6,8 @@
 import { expect } from "chai";
 import type { ClaimFleet } from "./support/claimFleet.js";
 import { claimFleet, outcomeOf, startOfTests, testWindow } from "./support/claimFleet.js";
+import type { AppendFate } from "./support/faultyLog.js";
 import { keyAt } from "./support/keys.js";
-import type { AppendFate } from "./support/memoryLog.js";
 
 const key = keyAt(startOfTests);
 const receipt = `receipt 1 for ${key}`;
--- a/tests/support/claimFleet.ts
+++ b/tests/support/claimFleet.ts
@@ -12,7 +12,7 @@
 import type { ClaimBatch, ClaimWindow, StoredAnswer } from "../../src/state/claimFold.js";
 import type { Refusal } from "../../src/state/errors.js";
 import type { Clock } from "../../src/state/types.js";
-import { type MemoryLog, memoryLog } from "./memoryLog.js";
+import { type FaultyLog, faultyLog } from "./faultyLog.js";
 import { type SteppedClock, steppedClock } from "./steppedClock.js";
 
 export const startOfTests = Date.UTC(2030, 0, 1);
@@ -37,7 +37,7 @@
 
 export type ClaimFleet = {
     clock: SteppedClock;
-    log: MemoryLog<ClaimBatch>;
+    log: FaultyLog<ClaimBatch>;
     runs: ServiceRun[];
     sends: Send[];
     /** How long a run takes, in milliseconds. */
@@ -87,7 +87,7 @@
     const { signal } = controller;
     setMaxListeners(0, signal);
     const clock = steppedClock(startOfTests);
-    const log = memoryLog<ClaimBatch>(clock, signal);
+    const log = faultyLog<ClaimBatch>(clock, signal);
 
     const start = (name: string): FleetAgent => {
         const gate = createGate();
