--- /dev/null
+++ b/tests/claimInterleavings.test.ts
@@ -0,0 +1,151 @@
+/**
+ * The same key through two entries to two agents at once, in 1,000 seeded interleavings with faults.
+ *
+ * Each case draws when and where the key is sent, what becomes of each append, how slow the log is, when the log is
+ * out, and when an agent is paused, killed or replaced. The service's record of runs is the judge.
+ */
+import { expect } from "chai";
+import fc from "fast-check";
+import type { ClaimFleet, FleetAgent, Send } from "./support/claimFleet.js";
+import { claimFleet, outcomeOf, startOfTests } from "./support/claimFleet.js";
+import type { AppendFate } from "./support/faultyLog.js";
+import { keyAt } from "./support/keys.js";
+
+const cases = 1_000;
+const seed = 20_300_101;
+const horizonMilliseconds = 12_000;
+const answerGraceMilliseconds = 1;
+
+const key = keyAt(startOfTests);
+
+const fates: fc.Arbitrary<AppendFate> = fc.oneof(
+    { weight: 5, arbitrary: fc.constant<AppendFate>("taken") },
+    { weight: 2, arbitrary: fc.constant<AppendFate>("answer-lost") },
+    { weight: 1, arbitrary: fc.constantFrom<AppendFate>("lost", "late", "turned-away") },
+);
+
+const at = fc.integer({ min: 0, max: 1_500 });
+const agentIndex = fc.integer({ min: 0, max: 1 });
+
+type Step =
+    | { kind: "send"; at: number; agent: number; patience: number; }
+    | { kind: "pause" | "resume" | "replace"; at: number; agent: number; }
+    | { kind: "outage" | "recovery"; at: number; };
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+    {
+        weight: 3,
+        arbitrary: fc.record({
+            kind: fc.constant<"send">("send"),
+            at,
+            agent: agentIndex,
+            patience: fc.integer({ min: 50, max: 3_000 }),
+        }),
+    },
+    {
+        weight: 2,
+        arbitrary: fc.record({ kind: fc.constantFrom<"pause" | "resume">("pause", "resume"), at, agent: agentIndex }),
+    },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant<"replace">("replace"), at, agent: agentIndex }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constantFrom<"outage" | "recovery">("outage", "recovery"), at }) },
+);
+
+const plan = fc.record({
+    steps: fc.array(step, { maxLength: 10 }),
+    fates: fc.array(fates, { maxLength: 12 }),
+    appendMilliseconds: fc.constantFrom(2, 20, 200),
+    readMilliseconds: fc.constantFrom(1, 30, 300),
+    lateMilliseconds: fc.constantFrom(5, 150, 2_500),
+    runMilliseconds: fc.constantFrom(1, 100),
+});
+
+type Plan = typeof plan extends fc.Arbitrary<infer Value> ? Value : never;
+
+type Cast = { fleet: ClaimFleet; agents: FleetAgent[]; silenced: Set<string>; };
+
+const perform: { [Kind in Step["kind"]]: (cast: Cast, step: Extract<Step, { kind: Kind; }>) => void; } = {
+    send: ({ fleet, agents }, { agent, patience }) => void fleet.send(agents[agent]!, key, patience),
+    pause: ({ agents, silenced }, { agent }) => {
+        agents[agent]!.pause();
+        silenced.add(agents[agent]!.name);
+    },
+    resume: ({ agents }, { agent }) => agents[agent]!.resume(),
+    replace: ({ fleet, agents, silenced }, { agent }) => {
+        agents[agent]!.kill();
+        silenced.add(agents[agent]!.name);
+        agents[agent] = fleet.start(`${agents[agent]!.name} again`);
+    },
+    outage: ({ fleet }) => fleet.log.readable = false,
+    recovery: ({ fleet }) => fleet.log.readable = true,
+};
+
+const performAny = <Kind extends Step["kind"]>(cast: Cast, kind: Kind, next: Extract<Step, { kind: Kind; }>): void =>
+    perform[kind](cast, next);
+
+const drawnFate = (fleet: ClaimFleet, drawn: AppendFate[]) => (): AppendFate => {
+    const fate = drawn.shift() ?? "taken";
+    return fleet.log.readable ? fate : "turned-away";
+};
+
+const play = async (drawn: Plan): Promise<Cast> => {
+    const fleet = claimFleet();
+    fleet.log.appendMilliseconds = () => drawn.appendMilliseconds;
+    fleet.log.readMilliseconds = () => drawn.readMilliseconds;
+    fleet.log.lateMilliseconds = () => drawn.lateMilliseconds;
+    fleet.runMilliseconds = drawn.runMilliseconds;
+    const cast: Cast = { fleet, agents: [fleet.start("one"), fleet.start("two")], silenced: new Set() };
+    await fleet.clock.run(400);
+    fleet.log.fate = drawnFate(fleet, [...drawn.fates]);
+    const together: Step[] = [0, 1].map(agent => ({ kind: "send", at: 0, agent, patience: 2_000 }));
+    const steps = [...together, ...drawn.steps].sort((left, right) => left.at - right.at);
+    let now = 0;
+    for (const next of steps) {
+        await fleet.clock.run(next.at - now);
+        now = next.at;
+        performAny(cast, next.kind, next);
+    }
+    fleet.log.readable = true;
+    await fleet.clock.run(horizonMilliseconds);
+    fleet.stop();
+    return cast;
+};
+
+const judgeSend = ({ fleet, silenced }: Cast, send: Send): void => {
+    const outcome = outcomeOf(send);
+    const ownRuns = fleet.runs.filter(run => run.send === send.id);
+    if (outcome === undefined) {
+        expect(silenced.has(send.agent), `${send.id} got no answer from a live agent`).to.equal(true);
+        return;
+    }
+    if (outcome.startsWith("not-run")) {
+        expect(ownRuns, `${send.id} was refused`).to.deep.equal([]);
+    }
+    if (send.ended!.result.isOk()) {
+        expect(outcome).to.equal(`receipt 1 for ${key}`);
+    }
+    if (!silenced.has(send.agent)) {
+        const latest = Math.max(send.deadline, ...ownRuns.map(run => run.at + fleet.runMilliseconds));
+        expect(send.ended!.at).to.be.at.most(latest + answerGraceMilliseconds);
+    }
+};
+
+describe("claim interleavings", () => {
+    it(`runs the key at most once and answers truly in ${cases} seeded interleavings`, async () => {
+        const seen = { runs: 0, outcomes: new Map<string, number>() };
+        await fc.assert(
+            fc.asyncProperty(plan, async drawn => {
+                const cast = await play(drawn);
+                expect(cast.fleet.runs.length, "runs of the key").to.be.at.most(1);
+                cast.fleet.sends.forEach(send => judgeSend(cast, send));
+                seen.runs += cast.fleet.runs.length;
+                cast.fleet.sends.map(outcomeOf).forEach(outcome =>
+                    seen.outcomes.set(outcome ?? "silent", (seen.outcomes.get(outcome ?? "silent") ?? 0) + 1)
+                );
+            }),
+            { seed, numRuns: cases },
+        );
+        // The draw is of use only if it meets every outcome many times.
+        expect(seen.runs).to.be.above(cases / 2);
+        expect([...seen.outcomes.values()].filter(count => count > 50)).to.have.length.at.least(4);
+    });
+});
