--- a/src/coordination/runAtMostOnce.ts
+++ b/src/coordination/runAtMostOnce.ts
@@ -11,7 +11,7 @@
 
 type Ending = (permit: RunPermit, key: string, service: string) => Refusal;
 
-const neverRan: Ending = (permit, _key, service) => {
+const neverRan: Ending = (permit, unusedKey, service) => {
     permit.release();
     return refusal("no-upstream", [service], comeBackSeconds);
 };
