--- a/scripts/deployment.mjs
+++ b/scripts/deployment.mjs
@@ -18,6 +18,7 @@
 /** Processes that start at the same time; more would only wait for each other. */
 const startsAtOnce = 12;
 const readyTimeoutMilliseconds = 60_000;
+const stopTimeoutMilliseconds = 3_000;
 
 /** Size of a deployment; see `scripts/measure.mjs` for the command line that fills it. */
 export const defaultPlan = {
@@ -34,10 +35,13 @@
     /** Settings nodes to add, by path. */
     nodes: {},
     seedsPerDaemon: 2,
+    /** Options of node for the daemons, such as those of its profiler. */
+    node: [],
 };
 
-const startProgram = (name, parameters, children) => {
-    const child = spawn(process.execPath, [join("dist/src/programs", `${name}.js`), ...parameters], {
+const startProgram = (name, parameters, children, nodeOptions = []) => {
+    const file = join("dist/src/programs", `${name}.js`);
+    const child = spawn(process.execPath, [...nodeOptions, file, ...parameters], {
         env: { ...process.env, CYCLAMENGAP_OPERATOR_TOKEN: operatorToken, CYCLAMENGAP_PEER_TOKEN: peerToken },
         stdio: ["ignore", "pipe", "inherit"],
     });
@@ -125,8 +129,10 @@
                 ? new Promise(resolve => child.once("exit", resolve))
                 : undefined
         );
-        children.forEach(child => child.kill("SIGKILL"));
+        children.forEach(child => child.kill("SIGTERM"));
+        const killing = setTimeout(() => children.forEach(child => child.kill("SIGKILL")), stopTimeoutMilliseconds);
         await Promise.all(ends);
+        clearTimeout(killing);
     };
     try {
         const zones = [...Array(plan.zones).keys()].map(index => `zone-${index + 1}`);
@@ -185,7 +191,12 @@
         const seeds = () => started.slice(0, plan.seedsPerDaemon).map(({ control }) => control);
         const startDaemon = async (program, config) => {
             const file = await writeConfig({ platform: url, listen, logLevel: "info", seeds: seeds(), ...config });
-            const { pid, address, control = address } = await startProgram(program, ["--config", file], children);
+            const { pid, address, control = address } = await startProgram(
+                program,
+                ["--config", file],
+                children,
+                plan.node,
+            );
             const { host, availabilityZone, upstream } = config;
             const serves = servesOf(upstream);
             const role = upstream === undefined ? { role: "entry" } : { role: "upstream", serves };
--- a/src/bench/experiment.ts
+++ b/src/bench/experiment.ts
@@ -15,6 +15,8 @@
     /** Requests a second that callers plan. */
     ratePerSecond: number;
     seconds: number;
+    /** Length of the same load before the measured one, so that the processes have compiled their code. */
+    warmUpSeconds: number;
     /** Tokens of one answer. */
     tokens: number;
 };
--- a/src/bench/loadExperiment.ts
+++ b/src/bench/loadExperiment.ts
@@ -38,6 +38,7 @@
                 ...(directShare > 0 ? [...direct.rows(seconds), ...addedRows(relayed, direct)] : []),
                 ...tokenRows(relayed, options.seconds, leastTokensPerSecond),
                 ...usage,
+                ...costRows(shares, deployment.entries.length, seconds, relayed),
             ],
             charts: [{
                 title: "First token, 95th percentile of each second",
@@ -84,6 +85,22 @@
     ];
 };
 
+/** Processor time of one relayed request and token, at all entries and at all agents together. */
+const costRows = (shares: readonly number[], entries: number, seconds: number, relayed: PathMeasures): ReportRow[] => {
+    const milliseconds = (from: number, to?: number) =>
+        shares.slice(from, to).reduce((sum, share) => sum + share, 0) * seconds * 1_000;
+    const calls = relayed.ends.of("whole");
+    return [
+        { name: "entries: processor for a request", value: milliseconds(0, entries) / calls, unit: "ms" },
+        { name: "agents: processor for a request", value: milliseconds(entries) / calls, unit: "ms" },
+        {
+            name: "entries: processor for a token",
+            value: milliseconds(0, entries) / relayed.tokens * 1_000,
+            unit: "µs",
+        },
+    ];
+};
+
 /** Tokens a second that reached callers in the second half of the planned load, when as many start as end. */
 const tokenRows = (relayed: PathMeasures, seconds: number, least: number | undefined): ReportRow[] =>
     least === undefined ? [] : [{
--- a/src/programs/bench.ts
+++ b/src/programs/bench.ts
@@ -22,6 +22,7 @@
     "seed": { type: "string", default: "1" },
     "rate": { type: "string", default: "100", description: "planned requests a second" },
     "seconds": { type: "string", default: "20" },
+    "warm-up-seconds": { type: "string", default: "5", description: "same load before the measured one" },
     "tokens": { type: "string", default: "32", description: "tokens of one answer" },
     "output": { type: "string", description: "directory for the JSON and SVG files" },
     "compare": { type: "string", description: "JSON file of an earlier run" },
@@ -46,6 +47,7 @@
     const options = {
         ratePerSecond: Number(values.rate),
         seconds: Number(values.seconds),
+        warmUpSeconds: Number(values["warm-up-seconds"]),
         tokens: Number(values.tokens),
     };
     const { entries, agents, engines } = deployment.value;
