--- a/src/bench/loadExperiment.ts
+++ b/src/bench/loadExperiment.ts
@@ -21,13 +21,17 @@
             { measures: relayed, share: 1, targets: entryTargets(tools) },
             { measures: direct, share: directShare, targets: engineTargets(tools) },
         ];
+        const bench = { host: "bench", pid: process.pid };
+        const engines = deployment.engines.map(({ group, pid }) => ({ host: group, pid }));
         const daemons = [...deployment.entries, ...deployment.agents];
-        const before = await Promise.all(daemons.map(({ pid }) => readUsage(pid)));
+        const others = [...engines, bench];
+        const readAll = () => Promise.all([...daemons, ...others].map(({ pid }) => readUsage(pid)));
+        const before = await readAll();
         const ratePerSecond = options.ratePerSecond * (1 + directShare);
         const seconds = await runCompletionLoad(tools, { ...options, ratePerSecond }, paths);
-        const after = await Promise.all(daemons.map(({ pid }) => readUsage(pid)));
+        const after = await readAll();
         const shares = coreShares(before, after, seconds);
-        const usage = daemons.map(({ host }, index): ReportRow => ({
+        const usage = [...daemons, ...others].map(({ host }, index): ReportRow => ({
             name: `${host}: processor`,
             value: (shares[index] ?? 0) * 100,
             unit: "% of a core",
@@ -38,7 +42,7 @@
                 ...(directShare > 0 ? [...direct.rows(seconds), ...addedRows(relayed, direct)] : []),
                 ...tokenRows(relayed, options.seconds, leastTokensPerSecond),
                 ...usage,
-                ...costRows(shares, deployment.entries.length, seconds, relayed),
+                ...costRows(shares.slice(0, daemons.length), deployment.entries.length, seconds, relayed),
             ],
             charts: [{
                 title: "First token, 95th percentile of each second",
