--- a/src/programs/standin.ts
+++ b/src/programs/standin.ts
@@ -5,10 +5,12 @@
  * Prints one JSON line with the addresses once it listens, and stops on SIGTERM or SIGINT.
  */
 import { defineCommand, runMain } from "citty";
+import { readFileSync } from "node:fs";
 import { v7 as newId } from "uuid";
 import { startEngine } from "../standin/modelEngine.js";
 import { startPlainService } from "../standin/plainService.js";
 import { startPlatform } from "../standin/platform.js";
+import type { HostRecord } from "../state/types.js";
 import { systemClock as clock } from "../transport/systemClock.js";
 
 const listen = { type: "string", default: "127.0.0.1:0", description: "address, ip:port" } as const;
@@ -28,9 +30,11 @@
 
 const platform = defineCommand({
     meta: { name: "platform", description: "append-only log, host list and weight store" },
-    args: { listen },
+    args: { listen, hosts: { type: "string", description: "JSON file with the first host list" } },
     run: async ({ args }) => {
-        const { address } = await startPlatform({ listen: args.listen, clock, signal: stopSignal() });
+        const { address, hosts } = await startPlatform({ listen: args.listen, clock, signal: stopSignal() });
+        const records = args.hosts === undefined ? [] : JSON.parse(readFileSync(args.hosts, "utf8")) as HostRecord[];
+        records.forEach(record => hosts.change(record.host, record));
         announce({ role: "platform", address });
     },
 });
