--- /dev/null
+++ b/src/programs/commands/history.ts
@@ -0,0 +1,45 @@
+/**
+ * `cyclamengap settings history`: the changes that the log still holds and what became of each.
+ */
+import { defineCommand } from "citty";
+import type { SettingsReading } from "../../coordination/settingsChange.js";
+import type { SettingsChange } from "../../state/types.js";
+import { interruptSignal, loadSettings, openSettings, platformArgument, print } from "./session.js";
+
+type Step = SettingsReading["steps"][number];
+
+const describeChange = (change: SettingsChange): string => {
+    const paths = change.edits.map(({ path, value }) => `${value === undefined ? "-" : ""}"${path}"`).join(", ");
+    return `${change.author}: ${paths}${change.comment === "" ? "" : `  # ${change.comment}`}  (change ${change.id})`;
+};
+
+const describeStep = ({ record, verdict }: Step): string[] => {
+    const head = `${record.offset}  ${new Date(record.appendedAt).toISOString()}  ${verdict.kind}`;
+    switch (verdict.kind) {
+        case "accepted":
+            return [`${head}  ${describeChange(verdict.change)}`];
+        case "conflict":
+            return [
+                `${head}  ${describeChange(verdict.change)}`,
+                ...verdict.conflicts.map(({ path, winningOffset }) => `    "${path}": offset ${winningOffset} won`),
+            ];
+        case "snapshot":
+            return [`${head}  up to offset ${verdict.upToOffset}`];
+        default:
+            return [head];
+    }
+};
+
+/** The command `settings history`. */
+export const history = defineCommand({
+    meta: { name: "history", description: "list the changes that the log still holds and what became of each" },
+    args: platformArgument,
+    run: async ({ args }) => {
+        const reading = await loadSettings(openSettings(args.platform), interruptSignal());
+        if (reading !== undefined) {
+            // Records that the snapshot which was started from includes have no verdict of their own any more.
+            const steps = reading.steps.filter(({ verdict }) => verdict.kind !== "repeated");
+            print(...steps.flatMap(describeStep));
+        }
+    },
+});
--- /dev/null
+++ b/src/programs/commands/inspect.ts
@@ -0,0 +1,67 @@
+/**
+ * `cyclamengap dump` and `cyclamengap log tail`: what one daemon holds and what a stream of the log holds.
+ */
+import { defineCommand } from "citty";
+import { decodeJson, describeDecodingError } from "../../protocol/decoding.js";
+import { createLogClient } from "../../transport/logClient.js";
+import { fetchDump } from "../../transport/operatorClient.js";
+import { exitStatus, fail, interruptSignal, loadOperatorToken, platformArgument, print } from "./session.js";
+
+const longPollMilliseconds = 10_000;
+
+/** The command `dump`. */
+export const dump = defineCommand({
+    meta: { name: "dump", description: "print the state of the daemon at an address" },
+    args: { address: { type: "positional", required: true, description: "control address, ip:port" } },
+    run: async ({ args }) => {
+        const token = loadOperatorToken();
+        if (token === undefined) {
+            return;
+        }
+        const text = await fetchDump(args.address, token, interruptSignal());
+        text.andThen(json => decodeJson(json).mapErr(describeDecodingError)).match(
+            state => print(JSON.stringify(state, undefined, 4)),
+            reason => fail(exitStatus.unsettled, `daemon "${args.address}": ${reason}`),
+        );
+    },
+});
+
+const tail = defineCommand({
+    meta: { name: "tail", description: "print the records of a stream, one JSON object a line" },
+    args: {
+        ...platformArgument,
+        stream: { type: "positional", required: true, description: "settings, quarantine, claims/…, groups/…" },
+        from: { type: "string", default: "0", description: "first offset" },
+        follow: { type: "boolean", default: false, description: "wait for new records" },
+    },
+    run: async ({ args }) => {
+        const signal = interruptSignal();
+        const stream = createLogClient<unknown>({ platform: args.platform, stream: args.stream });
+        let next = Number(args.from);
+        if (!Number.isSafeInteger(next) || next < 0) {
+            fail(exitStatus.wrongInput, `option "from": an offset of 0 or above, not "${args.from}"`);
+            return;
+        }
+        for (;;) {
+            const slice = await stream.read(next, args.follow ? longPollMilliseconds : 0, signal);
+            if (signal.aborted) {
+                return;
+            }
+            if (slice.isErr()) {
+                fail(exitStatus.unsettled, `stream "${args.stream}" can't be read: ${slice.error.reason}`);
+                return;
+            }
+            print(...slice.value.records.map(record => JSON.stringify(record)));
+            next = (slice.value.records.at(-1)?.offset ?? next - 1) + 1;
+            if (!args.follow && next >= slice.value.nextOffset) {
+                return;
+            }
+        }
+    },
+});
+
+/** The command group `log`. */
+export const log = defineCommand({
+    meta: { name: "log", description: "streams of the platform's log" },
+    subCommands: { tail },
+});
--- /dev/null
+++ b/src/programs/commands/settings.ts
@@ -0,0 +1,157 @@
+/**
+ * `cyclamengap settings`: checks, compares, applies and shows the settings tree.
+ */
+import { defineCommand } from "citty";
+import { v7 as newId } from "uuid";
+import type { SettingsReading } from "../../coordination/settingsChange.js";
+import { describeEdits, planEdits } from "../../protocol/settingsDocument.js";
+import type { SettingsDocument } from "../../protocol/settingsDocument.js";
+import { effective, livePaths, nodeAt, origins } from "../../state/settingsTree.js";
+import type { SettingsState } from "../../state/settingsTree.js";
+import type { SettingsChange, SettingsPath } from "../../state/types.js";
+import { history } from "./history.js";
+import {
+    changeArguments,
+    exitStatus,
+    fail,
+    interruptSignal,
+    loadDocument,
+    loadSettings,
+    openSettings,
+    platformArgument,
+    print,
+} from "./session.js";
+import { submitChange } from "./submit.js";
+
+const fileArgument = {
+    file: { type: "positional", required: true, description: "settings document, JSON with comments" },
+} as const;
+
+const check = defineCommand({
+    meta: { name: "check", description: "check a settings document without sending anything" },
+    args: fileArgument,
+    run: ({ args }) => {
+        const document = loadDocument(args.file);
+        if (document !== undefined) {
+            print(`${args.file}: ${Object.keys(document.nodes).length} nodes, no problems`);
+        }
+    },
+});
+
+const plan = defineCommand({
+    meta: { name: "plan", description: "show what a settings document would change" },
+    args: { ...fileArgument, ...platformArgument },
+    run: async ({ args }) => {
+        const document = loadDocument(args.file);
+        const reading = document && await loadSettings(openSettings(args.platform), interruptSignal());
+        if (document !== undefined && reading !== undefined) {
+            const edits = planEdits(reading.state, document);
+            print(...describeEdits(reading.state, edits));
+            print(`${edits.length} nodes differ from the settings in force at offset ${reading.state.offset}`);
+        }
+    },
+});
+
+const documentChangePrefix = (document: SettingsDocument): string => `${document.digest}.`;
+
+type EarlierChange = { offset: number; id: string; };
+
+/** The last accepted change that was made from an equal document, if the log still holds it. */
+const earlierChange = ({ steps }: SettingsReading, document: SettingsDocument): EarlierChange | undefined =>
+    steps.flatMap(({ record, verdict }) =>
+        verdict.kind === "accepted" && verdict.change.id.startsWith(documentChangePrefix(document))
+            ? [{ offset: record.offset, id: verdict.change.id }]
+            : []
+    ).at(-1);
+
+const apply = defineCommand({
+    meta: { name: "apply", description: "make the settings equal to a document; waits for the log's word" },
+    args: {
+        ...fileArgument,
+        ...changeArguments,
+        again: { type: "boolean", default: false, description: "apply a document that was accepted before" },
+    },
+    run: async ({ args }) => {
+        const signal = interruptSignal();
+        const stream = openSettings(args.platform);
+        const document = loadDocument(args.file);
+        const reading = document && await loadSettings(stream, signal);
+        if (document === undefined || reading === undefined) {
+            return;
+        }
+        const { state } = reading;
+        const edits = planEdits(state, document);
+        if (edits.length === 0) {
+            print(`nothing to change: the settings at offset ${state.offset} equal the document`);
+            return;
+        }
+        const earlier = earlierChange(reading, document);
+        if (earlier !== undefined && !args.again) {
+            fail(
+                exitStatus.rejected,
+                `this document was accepted at offset ${earlier.offset} (change ${earlier.id}); others changed since:`,
+                ...describeEdits(state, edits),
+                "pass --again to undo their changes",
+            );
+            return;
+        }
+        const { author, comment } = args;
+        const id = documentChangePrefix(document) + newId();
+        const change: SettingsChange = { kind: "change", id, author, comment, edits };
+        print(...describeEdits(state, edits), `sending change ${id}`);
+        await submitChange(change, stream, args["timeout-seconds"], signal);
+    },
+});
+
+const pathPrefixes: Record<string, string> = {
+    "availability-zone": "availabilityZones/",
+    "client-account": "clientAccounts/",
+    "group": "groups/",
+    "service": "services/",
+};
+
+const printEffective = (state: SettingsState, path: SettingsPath): void => {
+    if (nodeAt(state, path) === undefined) {
+        fail(exitStatus.rejected, `node "${path}" does not exist; it would inherit:`);
+    }
+    const values = effective(state, path);
+    const sources = Object.entries(origins(state, path)).sort();
+    print(...sources.map(([name, source]) => `${name}: ${JSON.stringify(values[name])}  (from "${source}")`));
+};
+
+const printTree = (state: SettingsState): void => {
+    const nodes = livePaths(state).map(path => [path, nodeAt(state, path)]);
+    print(`// in force at offset ${state.offset}`, JSON.stringify(Object.fromEntries(nodes), undefined, 4));
+};
+
+const show = defineCommand({
+    meta: { name: "show", description: "show the tree, or with --effective the values in force at one node" },
+    args: {
+        ...platformArgument,
+        effective: { type: "string", description: `${Object.keys(pathPrefixes).join(", ")}; its name follows` },
+        name: { type: "positional", required: false, description: "name of the node for --effective" },
+    },
+    run: async ({ args }) => {
+        const prefix = args.effective === undefined ? "" : pathPrefixes[args.effective];
+        if (prefix === undefined || (args.effective !== undefined && args.name === undefined)) {
+            fail(
+                exitStatus.wrongInput,
+                `option "effective": one of ${Object.keys(pathPrefixes).join(", ")}, and a name`,
+            );
+            return;
+        }
+        const reading = await loadSettings(openSettings(args.platform), interruptSignal());
+        if (reading !== undefined && args.effective !== undefined) {
+            printEffective(reading.state, `${prefix}${args.name ?? ""}`);
+        }
+        else if (reading !== undefined) {
+            printTree(reading.state);
+        }
+    },
+});
+
+/** The command group `settings`. */
+export const settings = defineCommand({
+    meta: { name: "settings", description: "the settings tree on the platform's log" },
+    subCommands: { check, plan, apply, show, history },
+});
--- /dev/null
+++ b/src/programs/commands/zone.ts
@@ -0,0 +1,66 @@
+/**
+ * `cyclamengap zone`: takes an availability zone out of service and back in.
+ */
+import { defineCommand } from "citty";
+import { v7 as newId } from "uuid";
+import type { ZoneState } from "../../coordination/zoneOrders.js";
+import { editFrom } from "../../state/settingsFold.js";
+import { effective, nodeAt } from "../../state/settingsTree.js";
+import type { SettingsChange } from "../../state/types.js";
+import { orderZone } from "../../transport/operatorClient.js";
+import { changeArguments, exitStatus, fail, interruptSignal } from "./session.js";
+import { loadOperatorToken, loadSettings, openSettings, print } from "./session.js";
+import { submitChange } from "./submit.js";
+
+const orderDirectly = async (name: string, state: ZoneState, addresses: string[]): Promise<void> => {
+    const token = loadOperatorToken();
+    if (token === undefined) {
+        return;
+    }
+    const signal = interruptSignal();
+    const orderOne = async (address: string): Promise<void> => {
+        const answer = await orderZone(address, token, name, state, signal);
+        answer.match(
+            ({ revision }) => print(`daemon "${address}": zone "${name}" is ${state} over revision ${revision}`),
+            reason => fail(exitStatus.unsettled, `daemon "${address}": ${reason}`),
+        );
+    };
+    await Promise.all(addresses.map(orderOne));
+};
+
+const zoneCommand = (state: ZoneState) =>
+    defineCommand({
+        meta: { name: state, description: `put an availability zone "${state}"` },
+        args: {
+            ...changeArguments,
+            name: { type: "positional", required: true, description: "name of the availability zone" },
+            direct: { type: "string", description: "ip:port,… of daemons to order without the log" },
+        },
+        run: async ({ args }) => {
+            const { name, author, comment, direct } = args;
+            if (direct !== undefined) {
+                await orderDirectly(name, state, direct.split(",").filter(address => address !== ""));
+                return;
+            }
+            const signal = interruptSignal();
+            const stream = openSettings(args.platform);
+            const reading = await loadSettings(stream, signal);
+            if (reading === undefined) {
+                return;
+            }
+            const path = `availabilityZones/${name}`;
+            if ((effective(reading.state, path)["state"] ?? "in") === state) {
+                print(`nothing to change: zone "${name}" is ${state} at offset ${reading.state.offset}`);
+                return;
+            }
+            const edit = editFrom(reading.state, path, { ...nodeAt(reading.state, path), state });
+            const change: SettingsChange = { kind: "change", id: newId(), author, comment, edits: [edit] };
+            await submitChange(change, stream, args["timeout-seconds"], signal);
+        },
+    });
+
+/** The command group `zone`. */
+export const zone = defineCommand({
+    meta: { name: "zone", description: "availability zones out of service and back in" },
+    subCommands: { out: zoneCommand("out"), in: zoneCommand("in") },
+});
--- /dev/null
+++ b/src/protocol/settingsDocument.ts
@@ -0,0 +1,177 @@
+/**
+ * The operators' settings document: the whole tree in one file of JSON with comments, one member for each path.
+ *
+ * Reading it names every problem at once. Its difference from the tree in force is the list of edits that makes the
+ * tree equal to the document; each edit carries the revision that it was made from.
+ */
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { createHash } from "node:crypto";
+import { isDeepStrictEqual } from "node:util";
+import { editFrom } from "../state/settingsFold.js";
+import { ancestorsOf, isBelow, livePaths, nodeAt } from "../state/settingsTree.js";
+import type { SettingsState } from "../state/settingsTree.js";
+import type { SettingsEdit, SettingsNode, SettingsPath } from "../state/types.js";
+import { parseCommentedFile } from "./commentedJson.js";
+import type { CommentedFile, FileProblem } from "./commentedJson.js";
+import { decodeValue } from "./decoding.js";
+import {
+    clientAccountSettings,
+    fieldNames,
+    groupSettings,
+    kindOfPath,
+    nodeSchemas,
+    serviceSettings,
+} from "./settingsSchema.js";
+import type { SettingsFailure } from "./settingsSchema.js";
+
+export type SettingsDocument = {
+    nodes: Record<SettingsPath, SettingsNode>;
+    /** First half of the SHA-256 digest of the nodes; equal documents have equal digests. */
+    digest: string;
+};
+
+const segmentPattern = /^[A-Za-z0-9][A-Za-z0-9._-]*$/;
+const digestCharacters = 32;
+
+const isObject = (value: unknown): value is Record<string, unknown> =>
+    typeof value === "object" && value !== null && !Array.isArray(value);
+
+const pathProblem = (path: SettingsPath): string | undefined => {
+    if (kindOfPath(path) === undefined) {
+        return `a path that is "" or starts with "availabilityZones", "groups", "services" or "clientAccounts"`;
+    }
+    return path === "" || path.split("/").every(segment => segmentPattern.test(segment))
+        ? undefined
+        : `names of letters, digits, ".", "_" and "-", joined by "/"`;
+};
+
+const nodeProblems = (file: CommentedFile, path: SettingsPath, node: unknown): FileProblem[] => {
+    const kind = kindOfPath(path);
+    const wrongPath = pathProblem(path);
+    if (wrongPath !== undefined || kind === undefined) {
+        return [file.problemAt([path], wrongPath ?? "a known path")];
+    }
+    return decodeValue(nodeSchemas[kind], node).match(
+        () => [],
+        ({ problems }) =>
+            problems.map(problem => {
+                const isUnknown = problem.path.length === 1 && isObject(node)
+                    && !fieldNames(kind).includes(String(problem.path[0]));
+                const expected = isUnknown ? `one of ${fieldNames(kind).join(", ")}` : problem.expected;
+                return file.problemAt([path, ...problem.path], expected);
+            }),
+    );
+};
+
+type Reader = (state: SettingsState, name: string) => Result<unknown, SettingsFailure>;
+
+const effectiveReaders: Record<string, Reader> = {
+    groups: groupSettings,
+    services: serviceSettings,
+    clientAccounts: clientAccountSettings,
+};
+
+/** The tree that `nodes` would make on their own. */
+const treeOf = (nodes: Record<SettingsPath, SettingsNode>): SettingsState => ({
+    offset: 0,
+    nodes: Object.fromEntries(Object.entries(nodes).map(([path, value]) => [path, { value, offset: 0 }])),
+});
+
+/** Values that are missing or wrong only once a node's inheritance is taken into account. */
+const effectiveProblems = (file: CommentedFile, nodes: Record<SettingsPath, SettingsNode>): FileProblem[] => {
+    const tree = treeOf(nodes);
+    return Object.keys(nodes).flatMap(path => {
+        const [first = "", ...rest] = path.split("/");
+        const reader = Object.hasOwn(effectiveReaders, first) ? effectiveReaders[first] : undefined;
+        if (reader === undefined || rest.length === 0) {
+            return [];
+        }
+        return reader(tree, rest.join("/")).match(
+            () => [],
+            failure =>
+                failure.kind === "absent"
+                    ? []
+                    : failure.problems.map(problem =>
+                        file.problemAt([path, ...problem.path], `${problem.expected}, here or at a parent`)
+                    ),
+        );
+    });
+};
+
+const repeatedKeyProblems = (file: CommentedFile, nodes: Record<SettingsPath, SettingsNode>): FileProblem[] => {
+    const owners = new Map<unknown, SettingsPath>();
+    return Object.entries(nodes).flatMap(([path, node]) => {
+        const digests: unknown = node["apiKeyDigests"];
+        return (Array.isArray(digests) ? digests as unknown[] : []).flatMap((digest, position) => {
+            const owner = owners.get(digest);
+            owners.set(digest, owner ?? path);
+            return owner === undefined
+                ? []
+                : [file.problemAt(
+                    [path, "apiKeyDigests", position],
+                    `a key of one account, but "${owner}" has it too`,
+                )];
+        });
+    });
+};
+
+const digestOf = (nodes: Record<SettingsPath, SettingsNode>): string =>
+    createHash("sha256").update(JSON.stringify(nodes)).digest("hex").slice(0, digestCharacters);
+
+/** Reads the text of a document; `name` is the file's name in the problems. */
+export const decodeSettingsDocument = (name: string, text: string): Result<SettingsDocument, FileProblem[]> =>
+    parseCommentedFile(name, text).andThen(file => {
+        if (!isObject(file.value)) {
+            return err([file.problemAt([], "an object with one member for each path of the tree")]);
+        }
+        const own = Object.entries(file.value).flatMap(([path, node]) => nodeProblems(file, path, node));
+        if (own.length > 0) {
+            return err(own);
+        }
+        const nodes = file.value as Record<SettingsPath, SettingsNode>;
+        const whole = [...effectiveProblems(file, nodes), ...repeatedKeyProblems(file, nodes)];
+        return whole.length > 0 ? err(whole) : ok({ nodes, digest: digestOf(nodes) });
+    });
+
+/** The values that the document gives `path`; an availability zone that it says nothing about stays in or out. */
+const wantedNode = (state: SettingsState, path: SettingsPath, node: SettingsNode): SettingsNode => {
+    const present = nodeAt(state, path)?.["state"];
+    return kindOfPath(path) === "availabilityZone" && node["state"] === undefined && present !== undefined
+        ? { ...node, state: present }
+        : node;
+};
+
+const isOrderedZone = (state: SettingsState, path: SettingsPath): boolean =>
+    kindOfPath(path) === "availabilityZone" && nodeAt(state, path)?.["state"] !== undefined;
+
+/** The edits that make the tree of `state` equal to `document`; removals come first. */
+export const planEdits = (state: SettingsState, document: SettingsDocument): SettingsEdit[] => {
+    const gone = livePaths(state).filter(path => !Object.hasOwn(document.nodes, path) && !isOrderedZone(state, path));
+    const removed = gone.filter(path => !ancestorsOf(path).some(ancestor => gone.includes(ancestor)));
+    const edits = Object.entries(document.nodes).flatMap(([path, node]) => {
+        const wanted = wantedNode(state, path, node);
+        const isRemoved = removed.some(ancestor => isBelow(path, ancestor));
+        return isDeepStrictEqual(nodeAt(state, path), wanted) && !isRemoved ? [] : [editFrom(state, path, wanted)];
+    });
+    return [...removed.map(path => editFrom(state, path)), ...edits];
+};
+
+const valueText = (value: unknown): string => value === undefined ? "(not set)" : JSON.stringify(value);
+
+const changedValues = (before: SettingsNode, after: SettingsNode): string[] =>
+    [...new Set([...Object.keys(before), ...Object.keys(after)])]
+        .filter(name => !isDeepStrictEqual(before[name], after[name]))
+        .map(name => `    ${name}: ${valueText(before[name])} → ${valueText(after[name])}`);
+
+/** Lines that show what `edits` would change in the tree of `state`. */
+export const describeEdits = (state: SettingsState, edits: readonly SettingsEdit[]): string[] =>
+    edits.flatMap(({ path, base, value }) => {
+        const before = nodeAt(state, path);
+        if (value === undefined) {
+            return [`- "${path}" and all below it (last changed at offset ${base})`];
+        }
+        return before === undefined
+            ? [`+ "${path}"`, ...changedValues({}, value)]
+            : [`~ "${path}" (last changed at offset ${base})`, ...changedValues(before, value)];
+    });
--- /dev/null
+++ b/src/transport/operatorClient.ts
@@ -0,0 +1,60 @@
+/**
+ * Calls of the operators' program to one daemon's control address.
+ */
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { request } from "undici";
+import type { ZoneOrder, ZoneState } from "../coordination/zoneOrders.js";
+import type { OperatorRouter } from "../protocol/operatorRouter.js";
+import { boundSignal } from "./boundedSignal.js";
+import { operatorEndpoint } from "./peerServer.js";
+
+const timeoutMilliseconds = 5_000;
+
+const reasonOf = (error: unknown): string => error instanceof Error ? error.message || error.name : String(error);
+
+const bounded = async <Value>(
+    signal: AbortSignal,
+    call: (bound: AbortSignal) => Promise<Result<Value, string>>,
+): Promise<Result<Value, string>> => {
+    const { signal: bound, release } = boundSignal(signal, timeoutMilliseconds);
+    try {
+        return await call(bound);
+    }
+    catch (error) {
+        return err(reasonOf(error));
+    }
+    finally {
+        release();
+    }
+};
+
+/** Orders the daemon at `address` to put an availability zone in or out; the error is a reason in words. */
+export const orderZone = (
+    address: string,
+    token: string,
+    availabilityZone: string,
+    state: ZoneState,
+    signal: AbortSignal,
+): Promise<Result<ZoneOrder, string>> => {
+    const headers = { authorization: `Bearer ${token}` };
+    const client = createTRPCClient<OperatorRouter>({
+        links: [httpLink({ url: `http://${address}${operatorEndpoint}`, headers })],
+    });
+    return bounded(
+        signal,
+        async bound => ok(await client.orderZone.mutate({ availabilityZone, state }, { signal: bound })),
+    );
+};
+
+/** The state dump of the daemon at `address`, as JSON text; the error is a reason in words. */
+export const fetchDump = (address: string, token: string, signal: AbortSignal): Promise<Result<string, string>> =>
+    bounded(signal, async bound => {
+        const response = await request(`http://${address}/state`, {
+            headers: { authorization: `Bearer ${token}` },
+            signal: bound,
+        });
+        const text = await response.body.text();
+        return response.statusCode === 200 ? ok(text) : err(`status ${response.statusCode}: ${text.slice(0, 200)}`);
+    });
