Route at the entry by the directory, the choice and the fair queue; let the agent watch its engine

The simple chooser knew neither load nor failures. Each entry now polls silent agents, suspects failed ones and gives up what is in flight at one that answers no probe. A retry that may repeat work counts against the request and the entry's budget; one that ran nothing or resumes a stream is free. An agent polls its engine, so that a restart is seen without traffic; a broken connection lowers its limit until a later report names the same incarnation. An agent drains by itself when its zone is out or its host leaves.

--- a/src/coordination/admissionGate.ts
+++ b/src/coordination/admissionGate.ts
@@ -4,17 +4,22 @@
  * The limit starts at the cold capacity. It grows only on evidence: work that was admitted after the last collapse,
  * completed, and left the step time within its bound. The first growth needs `warmUpTokens` of such work, and then each
  * completed request adds one place, as long as the present places are in use. It is halved when the step time rises,
- * and collapses to the cold capacity when the step time rises far, the engine crashes or its incarnation changes. A
- * crash during growth shows that the evidence was too thin, so the next growth needs twice as much.
+ * again and again while it stays up, and collapses to the cold capacity when the engine's incarnation changes. A crash
+ * during growth shows that the evidence was too thin, so the next growth needs twice as much. A broken connection may
+ * be a crash or just one cut stream: the limit falls at once, and comes back when a report taken later names the same
+ * incarnation.
  *
- * After a collapse the work above the limit must leave the engine before the engine fails: the gate aborts
- * `permit.moved` of the newest movable requests, whose holder cancels them here and lets the entry resume them
- * elsewhere. A permit counts as running until its holder calls `finish`.
+ * An upstream that was withdrawn starts cold when it returns, since nothing vouches for it after its absence.
+ *
+ * An engine whose step time has risen far may have turned cold under its load, and falls over if the load stays. The
+ * work above the halved limit must then leave it: the gate aborts `permit.moved` of the newest movable requests, whose
+ * holder cancels them here and lets the entry resume them elsewhere. A permit counts as running until its holder calls
+ * `finish`.
  */
 import { err, ok, type Result } from "neverthrow";
 import { invariant } from "../state/invariant.js";
 import type { Clock, LoadReport, UpstreamState } from "../state/types.js";
-import { createStepTimeWatch } from "./stepTimeWatch.js";
+import { createStepTimeWatch, type StepTimeVerdict } from "./stepTimeWatch.js";
 
 /** What the settings say about one upstream's admission. */
 export type GateSettings = {
@@ -26,6 +31,8 @@
     stepTimeBoundMilliseconds: number;
     /** Tokens of completed work that a cold upstream must show before its limit grows. */
     warmUpTokens?: number;
+    /** Whether operators or the platform have taken the upstream out of service, so that it drains. */
+    withdrawn?: boolean;
 };
 
 export type AdmissionRequest = {
@@ -35,10 +42,10 @@
     movable: boolean;
 };
 
-/** How one admitted request ended, as evidence about the upstream. */
-export type Evidence = { result: "completed" | "failed" | "cancelled"; tokens: number; };
+/** How one admitted request ended, as evidence about the upstream; `crashed` tells that its connection broke. */
+export type Evidence = { result: "completed" | "failed" | "cancelled" | "crashed"; tokens: number; };
 
-export type AdmissionRefusal = "full" | "draining";
+export type AdmissionRefusal = "full" | "draining" | "down";
 
 export type Permit = {
     readonly id: number;
@@ -52,16 +59,16 @@
 
 export type AdmissionGate = {
     admit: (request?: AdmissionRequest) => Result<Permit, AdmissionRefusal>;
-    /** Takes the engine's incarnation; a changed one means that the engine started anew and is cold. */
+    /** Takes the engine's incarnation; one not seen before means that the engine started anew and is cold. */
     observeIncarnation: (incarnation: string) => void;
     /** Takes the time between two tokens of one stream, or the step time that the engine reports. */
     observeStepTime: (milliseconds: number) => void;
-    /** Takes the word that the engine crashed: it is cold, and all that it ran is lost. */
-    observeCrash: () => void;
+    /** Takes the word that the upstream can't be reached; nothing is admitted until `observeReachable`. */
+    observeUnreachable: () => void;
+    /** Takes a report that the upstream itself gave: its incarnation at `takenAt`, in milliseconds since the epoch. */
+    observeReachable: (incarnation: string, takenAt: number) => void;
     /** Admits nothing more; running requests finish. */
     drain: () => void;
-    /** Ends a drain; the upstream starts cold, since nothing vouches for it after its absence. */
-    reopen: () => void;
     load: () => LoadReport;
 };
 
@@ -75,6 +82,10 @@
 
 const defaultWarmUpTokens = 2_000;
 const stepsBetweenReductions = 8;
+const largestEvidenceFactor = 64;
+
+/** Load reports come late and may still name an incarnation that is gone. */
+const incarnationsRemembered = 16;
 const defaultRequest: AdmissionRequest = { tokens: 1, movable: true };
 
 export const createAdmissionGate = ({ clock, settings, incarnation: firstIncarnation = "unknown" }: {
@@ -87,12 +98,17 @@
     let nextId = 1;
     let incarnation = firstIncarnation;
     let draining = false;
+    let down = false;
+    let wasWithdrawn = false;
+    let pastIncarnations: string[] = [];
     /** Grows with each collapse, so that work admitted before it is no evidence after it. */
     let epoch = 0;
     /** Places above the cold capacity that evidence has earned. */
     let earned = 0;
     let evidenceTokens = 0;
     let evidenceFactor = 1;
+    /** Set while a broken connection may have been a crash; holds what evidence had earned until then. */
+    let suspicion: { since: number; earned: number; } | undefined;
     let stepsSinceReduction = stepsBetweenReductions;
     let outstandingTokens = 0;
 
@@ -116,6 +132,7 @@
         epoch += 1;
         earned = 0;
         evidenceTokens = 0;
+        suspicion = undefined;
         stepTimes.reset();
         moveExcess();
     };
@@ -127,8 +144,59 @@
         }
     };
 
+    const suspectCrash = (): void => {
+        suspicion ??= { since: clock.now(), earned };
+        earned = 0;
+    };
+
+    const dismissSuspicion = (): void => {
+        earned = Math.max(earned, suspicion?.earned ?? 0);
+        suspicion = undefined;
+    };
+
+    const takeCrash = (): void => {
+        const earnedBefore = Math.max(earned, suspicion?.earned ?? 0);
+        const wasGrowing = earnedBefore > 0 && settings().coldCapacity + earnedBefore < settings().capacity;
+        evidenceFactor = wasGrowing ? Math.min(largestEvidenceFactor, evidenceFactor * 2) : evidenceFactor;
+        moveAll();
+        collapse();
+    };
+
+    const takeIncarnation = (next: string): void => {
+        if (next === incarnation || pastIncarnations.includes(next)) {
+            return;
+        }
+        const known = incarnation !== "unknown";
+        pastIncarnations = [...pastIncarnations, incarnation].slice(-incarnationsRemembered);
+        incarnation = next;
+        if (known) {
+            takeCrash();
+        }
+    };
+
+    const reduce = (verdict: StepTimeVerdict): void => {
+        stepsSinceReduction = 0;
+        const { coldCapacity } = settings();
+        const halved = Math.floor(Math.min(limit(), admitted.size) / 2);
+        earned = Math.max(0, halved - coldCapacity);
+        if (earned === 0) {
+            epoch += 1;
+            evidenceTokens = 0;
+        }
+        if (verdict === "far-risen") {
+            moveExcess();
+        }
+    };
+
     const takeEvidence = (entry: Admitted, evidence: Evidence, runningBefore: number): void => {
-        if (evidence.result !== "completed" || entry.epoch !== epoch) {
+        if (entry.epoch !== epoch) {
+            return;
+        }
+        if (evidence.result === "crashed") {
+            suspectCrash();
+            return;
+        }
+        if (evidence.result !== "completed") {
             return;
         }
         if (stepTimes.verdict(settings().stepTimeBoundMilliseconds) !== "within-bound") {
@@ -158,10 +226,22 @@
         outstandingTokens -= counted;
     };
 
+    const isDraining = (): boolean => {
+        const withdrawn = settings().withdrawn === true;
+        if (wasWithdrawn && !withdrawn) {
+            collapse();
+        }
+        wasWithdrawn = withdrawn;
+        return draining || withdrawn;
+    };
+
     const state = (): UpstreamState => {
-        if (draining) {
+        if (isDraining()) {
             return "draining";
         }
+        if (down) {
+            return "down";
+        }
         if (limit() >= settings().capacity) {
             return "warm";
         }
@@ -170,9 +250,12 @@
 
     return {
         admit: (request = defaultRequest) => {
-            if (draining) {
+            if (isDraining()) {
                 return err("draining");
             }
+            if (down) {
+                return err("down");
+            }
             if (admitted.size >= limit()) {
                 return err("full");
             }
@@ -193,46 +276,34 @@
                 finish: evidence => finish(entry, evidence),
             });
         },
-        observeIncarnation: next => {
-            if (next === incarnation) {
-                return;
-            }
-            const known = incarnation !== "unknown";
-            incarnation = next;
-            if (known) {
-                moveAll();
-                collapse();
-            }
-        },
+        observeIncarnation: takeIncarnation,
         observeStepTime: milliseconds => {
             if (!stepTimes.observe(milliseconds)) {
                 return;
             }
             stepsSinceReduction += 1;
             const verdict = stepTimes.verdict(settings().stepTimeBoundMilliseconds);
-            if (verdict === "far-risen" && earned > 0) {
-                collapse();
+            if (verdict !== "within-bound" && stepsSinceReduction > stepsBetweenReductions) {
+                reduce(verdict);
             }
-            else if (verdict === "risen" && stepsSinceReduction > stepsBetweenReductions) {
-                stepsSinceReduction = 0;
-                earned = Math.max(0, Math.floor(limit() / 2) - settings().coldCapacity);
+        },
+        observeUnreachable: () => {
+            if (!down) {
+                down = true;
+                moveAll();
+                collapse();
             }
         },
-        observeCrash: () => {
-            const growing = earned > 0 && limit() < settings().capacity;
-            evidenceFactor = growing ? evidenceFactor * 2 : 1;
-            moveAll();
-            collapse();
+        observeReachable: (reported, takenAt) => {
+            down = false;
+            takeIncarnation(reported);
+            if (suspicion !== undefined && reported === incarnation && takenAt > suspicion.since) {
+                dismissSuspicion();
+            }
         },
         drain: () => {
             draining = true;
         },
-        reopen: () => {
-            if (draining) {
-                draining = false;
-                collapse();
-            }
-        },
         load: () => {
             const stepMilliseconds = stepTimes.median() ?? settings().stepTimeBoundMilliseconds;
             return {
--- a/src/coordination/completionTask.ts
+++ b/src/coordination/completionTask.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../state/types.js";
 import type { AttemptClient, AttemptFailure, ModelEnd, ModelWork } from "./attempts.js";
 import { trackOutcome } from "./requestOutcome.js";
+import { createRetryPolicy, shouldAvoid } from "./retryPolicy.js";
 import type { UpstreamChooser } from "./upstreamChooser.js";
 
 export type TaskTools = {
@@ -46,25 +47,32 @@
     signal: AbortSignal,
 ): Promise<Result<ModelEnd, Refusal>> => {
     const outcome = trackOutcome();
+    const retries = createRetryPolicy(limits.maximumRetries, tools.takeRetry);
     const avoided = new Set<string>();
     let received = 0;
     const interrupted = (): Refusal => outcome.conclude(work.model, refusal("interrupted", [work.model]));
 
-    for (let retries = 0;; retries++) {
-        const timeoutMilliseconds = limits.deadline - tools.clock.now();
-        if (timeoutMilliseconds <= 0) {
+    for (;;) {
+        if (tools.clock.now() >= limits.deadline) {
             return err(outcome.mayHaveRun() ? interrupted() : refusal("deadline-passed"));
         }
-        const choice = tools.chooser.chooseForModel(work, avoided);
+        const choice = await tools.chooser.chooseForModel(
+            work,
+            { avoided, received, deadline: limits.deadline },
+            signal,
+        );
         if (choice.isErr()) {
             return err(outcome.mayHaveRun() ? interrupted() : choice.error);
         }
-        const { upstream, finish } = choice.value;
-        const attempt = { ...work, attempt: tools.newId(), resumeFrom: received, timeoutMilliseconds };
+        const { upstream, progress, finish } = choice.value;
+        const resumeFrom = received;
+        const timeoutMilliseconds = limits.deadline - tools.clock.now();
+        const attempt = { ...work, attempt: tools.newId(), resumeFrom, timeoutMilliseconds };
         const takeToken = (index: number, text: string): void => {
             // A repeated or early index is not the next token of this answer.
             if (index === received && !signal.aborted) {
                 received++;
+                progress(1);
                 onToken(text);
             }
         };
@@ -76,10 +84,17 @@
             finish({ load: ended.value.load });
             return ok(ended.value);
         }
-        finish({ failure: ended.error });
         outcome.record(ended.error);
-        avoided.add(upstream.host);
-        if (signal.aborted || retries >= limits.maximumRetries || !tools.takeRetry()) {
+        if (signal.aborted || tools.clock.now() >= limits.deadline) {
+            // The attempt ended with its caller or its time, which says nothing about the upstream.
+            finish({});
+            return err(interrupted());
+        }
+        finish({ failure: ended.error });
+        if (shouldAvoid(ended.error)) {
+            avoided.add(upstream.host);
+        }
+        if (!retries.mayRetry(ended.error, received > resumeFrom)) {
             return err(interrupted());
         }
     }
--- a/src/coordination/hostListFollower.ts
+++ b/src/coordination/hostListFollower.ts
@@ -17,6 +17,8 @@
     hosts: () => HostRecord[];
     /** Takes a list from another daemon; one that is not newer is ignored. */
     adopt: (list: HostList) => void;
+    /** Calls `listener` with each newer list, and with the present one at once. */
+    onChange: (listener: (list: HostList) => void) => void;
     /** Why the last poll failed; undefined when it succeeded. */
     failure: () => string | undefined;
 };
@@ -33,10 +35,12 @@
 export const startHostListFollower = ({ read, pollMilliseconds, clock, signal }: HostListOptions): HostListFollower => {
     let list: HostList = { version: -1, hosts: [] };
     let failure: string | undefined;
+    const listeners: ((list: HostList) => void)[] = [];
 
     const adopt = (newer: HostList): void => {
         if (newer.version > list.version) {
             list = newer;
+            listeners.forEach(listener => listener(newer));
         }
     };
 
@@ -50,7 +54,16 @@
     };
     void follow();
 
-    return { current: () => list, hosts: () => list.hosts, adopt, failure: () => failure };
+    return {
+        current: () => list,
+        hosts: () => list.hosts,
+        adopt,
+        onChange: listener => {
+            listeners.push(listener);
+            listener(list);
+        },
+        failure: () => failure,
+    };
 };
 
 const versionOf = (digest: unknown): number =>
--- a/src/coordination/modelAttemptTask.ts
+++ b/src/coordination/modelAttemptTask.ts
@@ -7,7 +7,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Refusal, refusal } from "../state/errors.js";
 import type { Clock } from "../state/types.js";
-import type { AdmissionGate, AdmissionRefusal, Permit } from "./admissionGate.js";
+import type { AdmissionGate, AdmissionRefusal, Evidence, Permit } from "./admissionGate.js";
 import type { AttemptFailure, ModelAttempt, ModelEnd } from "./attempts.js";
 import type { EngineClient, UpstreamFailure } from "./upstreamClients.js";
 
@@ -27,6 +27,8 @@
     engine: EngineClient;
     clock: Clock;
     heartbeatMilliseconds: number;
+    /** Asks the engine for a report now, since one of its connections broke. */
+    checkEngine: () => void;
 };
 
 const comeBackSeconds = 1;
@@ -35,6 +37,7 @@
 export const admissionRefusals: Record<AdmissionRefusal, (host: string) => Refusal> = {
     full: host => refusal("upstream-full", [host], comeBackSeconds),
     draining: host => refusal("upstream-draining", [host], comeBackSeconds),
+    down: host => refusal("no-upstream", [host], comeBackSeconds),
 };
 
 /** Serves `attempt`; an error means that nothing ran and that the stream was never opened. */
@@ -61,13 +64,20 @@
         permit.finish({ result: "completed", tokens: generated.value.tokens - attempt.resumeFrom });
         return ok(ok({ ...generated.value, load: tools.gate.load() }));
     }
-    permit.finish({ result: stopping.aborted ? "cancelled" : "failed", tokens: 0 });
+    permit.finish({ result: stopping.aborted ? "cancelled" : evidenceOfFailure[generated.error.kind], tokens: 0 });
     if (permit.moved.aborted) {
         return ok(err({ kind: "moved", load: tools.gate.load() }));
     }
     return concludeFailure(tools, generated.error, writer.isOpen());
 };
 
+const evidenceOfFailure: Record<UpstreamFailure["kind"], Evidence["result"]> = {
+    unreachable: "crashed",
+    crashed: "crashed",
+    cut: "failed",
+    refused: "failed",
+};
+
 const generate = async (
     tools: ModelAttemptTools,
     attempt: ModelAttempt,
@@ -119,7 +129,7 @@
     isOpen: boolean,
 ): Result<StreamEnding, Refusal> => {
     if (failure.kind === "crashed" || failure.kind === "unreachable") {
-        tools.gate.observeCrash();
+        tools.checkEngine();
     }
     const ranNothing = failure.kind === "unreachable" || failure.kind === "refused";
     if (ranNothing && !isOpen) {
--- /dev/null
+++ b/src/coordination/retryPolicy.ts
@@ -0,0 +1,63 @@
+/**
+ * Decides whether a failed attempt of one request is followed by another.
+ *
+ * What ran nothing, or moves on from where it was, costs the upstreams no work twice and is free. What may have worked in
+ * vain counts against the request's own retries and takes from the entry's budget. A crash always counts, since the
+ * request itself may be its cause. However its attempts fail, a request has only so many.
+ */
+import type { ErrorCode } from "../state/errors.js";
+import type { AttemptFailure } from "./attempts.js";
+
+export type RetryPolicy = {
+    /** Whether to go on after `failure`; `progressed` tells that the attempt gave the caller new tokens. */
+    mayRetry: (failure: AttemptFailure, progressed: boolean) => boolean;
+};
+
+const largestNumberOfAttempts = 16;
+
+/** Refusals that another upstream, or the same one later, may not repeat. */
+const passingRefusals: ReadonlySet<ErrorCode> = new Set([
+    "upstream-full",
+    "upstream-draining",
+    "no-upstream",
+    "not-ready",
+]);
+
+type Cost = "free" | "counted" | "final";
+
+const costs: {
+    [Kind in AttemptFailure["kind"]]: (failure: AttemptFailure & { kind: Kind; }, progressed: boolean) => Cost;
+} = {
+    refused: ({ refusal }) => passingRefusals.has(refusal.code) ? "free" : "final",
+    unreachable: () => "free",
+    moved: () => "free",
+    crashed: () => "counted",
+    cut: (failure, progressed) => progressed ? "free" : "counted",
+};
+
+const costOf = (failure: AttemptFailure, progressed: boolean): Cost =>
+    (costs[failure.kind] as (failure: AttemptFailure, progressed: boolean) => Cost)(failure, progressed);
+
+/** The policy of one request; `takeRetry` draws on the entry's budget. */
+export const createRetryPolicy = (maximumRetries: number, takeRetry: () => boolean): RetryPolicy => {
+    let attempts = 0;
+    let counted = 0;
+    return {
+        mayRetry: (failure, progressed) => {
+            attempts += 1;
+            const cost = costOf(failure, progressed);
+            if (cost === "final" || attempts >= largestNumberOfAttempts) {
+                return false;
+            }
+            if (cost === "free") {
+                return true;
+            }
+            counted += 1;
+            return counted <= maximumRetries && takeRetry();
+        },
+    };
+};
+
+/** Whether the request should pass over the host of its failed attempt; others tell of themselves in their load. */
+export const shouldAvoid = (failure: AttemptFailure): boolean =>
+    failure.kind !== "moved" && !(failure.kind === "refused" && failure.refusal.code !== "no-upstream");
--- a/src/coordination/serviceTask.ts
+++ b/src/coordination/serviceTask.ts
@@ -9,6 +9,7 @@
 import type { ServiceAnswer, ServiceWork } from "./attempts.js";
 import { describeAttempt, type TaskLimits, type TaskTools } from "./completionTask.js";
 import { trackOutcome } from "./requestOutcome.js";
+import { createRetryPolicy, shouldAvoid } from "./retryPolicy.js";
 
 /** Runs `work` and gives the service's whole answer. */
 export const runServiceCall = async (
@@ -18,33 +19,45 @@
     signal: AbortSignal,
 ): Promise<Result<ServiceAnswer, Refusal>> => {
     const outcome = trackOutcome();
+    const retries = createRetryPolicy(limits.maximumRetries, tools.takeRetry);
     const avoided = new Set<string>();
     const whenUnknown = work.idempotencyKey === undefined
         ? refusal("interrupted", [work.service])
         : refusal("outcome-unknown", [work.idempotencyKey]);
     const unfinished = (): Refusal => outcome.conclude(work.service, whenUnknown);
 
-    for (let retries = 0;; retries++) {
-        const timeoutMilliseconds = limits.deadline - tools.clock.now();
-        if (timeoutMilliseconds <= 0) {
+    for (;;) {
+        if (tools.clock.now() >= limits.deadline) {
             return err(outcome.mayHaveRun() ? unfinished() : refusal("deadline-passed"));
         }
-        const choice = tools.chooser.chooseForService(work, avoided);
+        const choice = await tools.chooser.chooseForService(
+            work,
+            { avoided, received: 0, deadline: limits.deadline },
+            signal,
+        );
         if (choice.isErr()) {
             return err(outcome.mayHaveRun() ? unfinished() : choice.error);
         }
-        const { upstream, finish } = choice.value;
+        const { upstream, lost, finish } = choice.value;
+        const timeoutMilliseconds = limits.deadline - tools.clock.now();
         const attempt = { ...work, attempt: tools.newId(), timeoutMilliseconds };
-        const ended = await tools.attempts.runService(upstream, attempt, signal);
+        const ended = await tools.attempts.runService(upstream, attempt, AbortSignal.any([signal, lost]));
         tools.onAttempt(describeAttempt(work, attempt.attempt, upstream.host, ended));
         if (ended.isOk()) {
             finish({ load: ended.value.load });
             return ok(ended.value.answer);
         }
-        finish({ failure: ended.error });
         outcome.record(ended.error);
-        avoided.add(upstream.host);
-        if (signal.aborted || retries >= limits.maximumRetries || !tools.takeRetry()) {
+        if (signal.aborted || tools.clock.now() >= limits.deadline) {
+            // The attempt ended with its caller or its time, which says nothing about the upstream.
+            finish({});
+            return err(unfinished());
+        }
+        finish({ failure: ended.error });
+        if (shouldAvoid(ended.error)) {
+            avoided.add(upstream.host);
+        }
+        if (!retries.mayRetry(ended.error, false)) {
             return err(unfinished());
         }
     }
--- a/src/coordination/stepTimeWatch.ts
+++ b/src/coordination/stepTimeWatch.ts
@@ -7,7 +7,7 @@
  */
 import type { Clock } from "../state/types.js";
 
-/** `risen` is above the bound; `far-risen` is so far above that the engine must be taken for cold. */
+/** `risen` is above the bound; `far-risen` is so far above that the engine may have turned cold. */
 export type StepTimeVerdict = "within-bound" | "risen" | "far-risen";
 
 export type StepTimeWatch = {
--- a/src/coordination/upstreamChooser.ts
+++ b/src/coordination/upstreamChooser.ts
@@ -6,14 +6,33 @@
 import type { HostRecord, LoadReport } from "../state/types.js";
 import type { AttemptFailure, ModelWork, ServiceWork } from "./attempts.js";
 
-/** An upstream chosen for one attempt; `finish` is called exactly once, when the attempt has ended. */
+/** An upstream chosen for one attempt. */
 export type Choice = {
     upstream: HostRecord;
+    /** Aborts when the upstream falls silent, so that the attempt is given up. */
+    lost: AbortSignal;
+    /** Counts `tokens` received tokens. */
+    progress: (tokens: number) => void;
+    /** Called exactly once, when the attempt has ended; a failure that is not the upstream's is left out. */
     finish: (ending: { failure?: AttemptFailure; load?: LoadReport; }) => void;
 };
 
+/** What the earlier attempts of a request mean for its next one. */
+export type ChoiceOptions = {
+    /** Hosts to pass over while any other takes work. */
+    avoided: ReadonlySet<string>;
+    /** Number of tokens that the caller already has; such a request goes before new ones. */
+    received: number;
+    /** When the request must have its answer, by the clock. */
+    deadline: number;
+};
+
+/** Chooses for one attempt; waits in the queue while no upstream has a free place, until `signal` aborts. */
 export type UpstreamChooser = {
-    /** Chooses for `work`, passing over the hosts in `avoided` while any other takes work. */
-    chooseForModel: (work: ModelWork, avoided: ReadonlySet<string>) => Result<Choice, Refusal>;
-    chooseForService: (work: ServiceWork, avoided: ReadonlySet<string>) => Result<Choice, Refusal>;
+    chooseForModel: (work: ModelWork, options: ChoiceOptions, signal: AbortSignal) => Promise<Result<Choice, Refusal>>;
+    chooseForService: (
+        work: ServiceWork,
+        options: ChoiceOptions,
+        signal: AbortSignal,
+    ) => Promise<Result<Choice, Refusal>>;
 };
--- a/src/coordination/upstreamDirectory.ts
+++ b/src/coordination/upstreamDirectory.ts
@@ -35,6 +35,8 @@
 
 /** A request that this entry has in flight on one upstream. */
 export type InFlight = {
+    /** Aborts when the upstream falls silent. */
+    readonly lost: AbortSignal;
     /** Counts `tokens` received tokens off the outstanding ones. */
     progress: (tokens: number) => void;
     /** Ends the request; further calls have no effect. */
@@ -48,10 +50,14 @@
     observeLoad: (host: string, load: LoadReport) => void;
     /** Takes the failure of a call to `host`, which gets no new work until it is heard of again. */
     observeFailure: (host: string) => void;
+    /** Takes the word that `host` answers no probe any more: what is in flight there is lost. */
+    observeSilence: (host: string) => void;
     /** Counts a request of `tokens` tokens as sent to `host`. */
     begin: (host: string, tokens: number) => InFlight;
     /** The watched upstreams that serve `target`. */
     upstreams: (target: string) => UpstreamView[];
+    /** All watched upstreams, for the dump. */
+    views: () => UpstreamView[];
     /** Hosts of the watched upstreams, for the tasks that probe them. */
     watched: () => HostRecord[];
     /** When `host` was last heard of, in milliseconds since the epoch, and whether it is suspected. */
@@ -73,6 +79,7 @@
     ownTokens: number;
     othersRunning: number;
     othersTokens: number;
+    inFlight: Set<AbortController>;
 };
 
 const watchedInOwnZone = 64;
@@ -162,6 +169,7 @@
         ownTokens: 0,
         othersRunning: 0,
         othersTokens: 0,
+        inFlight: new Set(),
     });
 
     return {
@@ -208,8 +216,12 @@
                 changed(host);
             }
         },
+        observeSilence: host => {
+            entries.get(host)?.inFlight.forEach(lost => lost.abort());
+        },
         begin: (host, tokens) => {
             const entry = entries.get(host);
+            const lost = new AbortController();
             let left = tokens;
             let ended = false;
             const progress = (received: number): void => {
@@ -222,8 +234,10 @@
             if (entry !== undefined) {
                 entry.ownRunning += 1;
                 entry.ownTokens += tokens;
+                entry.inFlight.add(lost);
             }
             return {
+                lost: lost.signal,
                 progress,
                 end: () => {
                     if (ended) {
@@ -233,12 +247,14 @@
                     ended = true;
                     if (entry !== undefined) {
                         entry.ownRunning -= 1;
+                        entry.inFlight.delete(lost);
                     }
                     changed(host);
                 },
             };
         },
         upstreams: target => viewAll(byTarget.get(target) ?? []),
+        views: () => [...byTarget.values()].flatMap(viewAll),
         watched: () => [...entries.values()].map(entry => entry.record),
         lastWord: host => {
             const entry = entries.get(host);
--- a/src/coordination/upstreamWatch.ts
+++ b/src/coordination/upstreamWatch.ts
@@ -18,6 +18,8 @@
 const pollsPerSecond = 50;
 
 const firstProbeDelayMilliseconds = 100;
+/** One lost poll is no silence. */
+const failuresUntilSilent = 2;
 const longestProbeDelayMilliseconds = 2_000;
 
 type WatchTools = {
@@ -111,6 +113,9 @@
         else {
             failures += 1;
             directory.observeFailure(record.host);
+            if (failures >= failuresUntilSilent) {
+                directory.observeSilence(record.host);
+            }
         }
     }
 };
--- a/src/protocol/attemptProtocol.ts
+++ b/src/protocol/attemptProtocol.ts
@@ -3,13 +3,16 @@
  *
  * `POST /attempts/model` answers with one JSON frame a line: tokens with consecutive indexes, heartbeats while there is
  * nothing to say, and exactly one closing frame. A stream without a closing frame was cut. `POST /attempts/service`
- * answers with one JSON object. A refusal has the refusal's own status and an `AgentRefusal` as its body. Frames are
+ * answers with one JSON object, and so does `GET /load`. A refusal has the refusal's own status and an `AgentRefusal` as its body. Frames are
  * written by hand on the hot path, since a token is the most frequent message of the system.
  */
 import { z } from "zod";
 import type { ErrorCode } from "../state/errors.js";
 import { errorCodes } from "../state/errors.js";
 
+/** Route of an agent that gives its load report. */
+export const loadRoute = "/load";
+
 export const attemptHeader = "cyclamengap-attempt";
 
 /** An agent that has nothing else to send sends a heartbeat this often, in milliseconds. */
--- a/src/transport/agentDaemon.ts
+++ b/src/transport/agentDaemon.ts
@@ -3,7 +3,8 @@
  */
 import { Hono } from "hono";
 import { type AdmissionGate, createAdmissionGate, type GateSettings } from "../coordination/admissionGate.js";
-import { heartbeatIntervalMilliseconds } from "../protocol/attemptProtocol.js";
+import { startEngineWatch } from "../coordination/engineWatch.js";
+import { heartbeatIntervalMilliseconds, loadRoute } from "../protocol/attemptProtocol.js";
 import type { AgentConfig } from "../protocol/daemonConfig.js";
 import type { SettingsReader } from "../protocol/settingsReader.js";
 import { addModelRoute, addServiceRoute } from "./attemptServer.js";
@@ -38,14 +39,23 @@
     };
 };
 
-const addAttemptRoutes = (application: Hono<NodeBindings>, config: AgentConfig, gate: AdmissionGate): void => {
+const addAttemptRoutes = (
+    application: Hono<NodeBindings>,
+    config: AgentConfig,
+    gate: AdmissionGate,
+    signal: AbortSignal,
+): void => {
+    application.get(loadRoute, context => context.json(gate.load()));
     if (config.upstream.kind === "group") {
+        const engine = createEngineClient(config.upstream.address);
+        const watch = startEngineWatch({ engine, gate, clock: systemClock }, signal);
         addModelRoute(application, {
             host: config.host,
             gate,
-            engine: createEngineClient(config.upstream.address),
+            engine,
             clock: systemClock,
             heartbeatMilliseconds: heartbeatIntervalMilliseconds,
+            checkEngine: watch.check,
         });
         return;
     }
@@ -63,11 +73,15 @@
     const core = startDaemonCore(config, tokens, stopping.signal);
     const gate = createAdmissionGate({
         clock: systemClock,
-        settings: () => gateSettings(core.settings, config.upstream),
+        settings: () => ({
+            ...gateSettings(core.settings, config.upstream),
+            withdrawn: core.isZoneOut(config.availabilityZone) || core.isLeaving(),
+        }),
     });
     const application = new Hono<NodeBindings>();
     application.use("/attempts/*", requireToken(tokens.peerToken));
-    addAttemptRoutes(application, config, gate);
+    application.use(loadRoute, requireToken(tokens.peerToken));
+    addAttemptRoutes(application, config, gate, stopping.signal);
     core.addRoutes(application, () => ({ role: "agent", upstream: config.upstream, load: gate.load() }));
     const listener = await listen(application, config.listen);
     core.startRelay(listener.address);
--- a/src/transport/daemonCore.ts
+++ b/src/transport/daemonCore.ts
@@ -14,7 +14,7 @@
 import { decodeHostListUpdate } from "../protocol/hostListMessages.js";
 import { createSettingsReader, type SettingsReader } from "../protocol/settingsReader.js";
 import { decodeSettingsUpdate, decodeZoneOrders } from "../protocol/settingsUpdate.js";
-import type { SettingsRecord } from "../state/types.js";
+import type { HostRecord, SettingsRecord } from "../state/types.js";
 import { addOperatorRoutes } from "./daemonRoutes.js";
 import { readHostList } from "./hostListClient.js";
 import type { NodeBindings } from "./httpServer.js";
@@ -34,6 +34,8 @@
     hostList: HostListFollower;
     /** Whether operators have taken the zone out, by an order given directly or by the settings. */
     isZoneOut: (availabilityZone: string) => boolean;
+    /** Whether the host list says that this daemon's own host is leaving. */
+    isLeaving: () => boolean;
     metrics: Metrics;
     /** Adds a topic to what the relay carries. */
     addTopic: (topic: RelayTopic) => void;
@@ -62,6 +64,10 @@
         hostListTopic(hostList, decodeHostListUpdate),
         zoneOrders.topic,
     ];
+    let ownState: HostRecord["state"] | undefined;
+    hostList.onChange(({ hosts }) => {
+        ownState = hosts.find(({ host }) => host === config.host)?.state;
+    });
     let relay: ReturnType<typeof startRelay> | undefined;
     void runSnapshotDuty({
         follower,
@@ -81,6 +87,7 @@
             const ordered = zoneOrders.orderedState(availabilityZone);
             return ordered === undefined ? settings.isZoneOut(availabilityZone) : ordered === "out";
         },
+        isLeaving: () => ownState === "leaving",
         metrics,
         addTopic: topic => void topics.push(topic),
         addRoutes: (application, describe) => {
--- a/src/transport/engineClient.ts
+++ b/src/transport/engineClient.ts
@@ -9,6 +9,7 @@
 import { z } from "zod";
 import type { ModelAttempt, TokenSink } from "../coordination/attempts.js";
 import type { EngineClient, UpstreamFailure } from "../coordination/upstreamClients.js";
+import { boundSignal } from "./boundedSignal.js";
 import { readLines } from "./lines.js";
 
 const connectTimeoutMilliseconds = 500;
@@ -100,7 +101,10 @@
                         resume_from: attempt.resumeFrom,
                     }),
                 });
-                onIncarnation(String(answer.headers["x-engine-incarnation"] ?? ""));
+                const incarnation = answer.headers["x-engine-incarnation"];
+                if (typeof incarnation === "string") {
+                    onIncarnation(incarnation);
+                }
                 if (answer.statusCode !== okStatus) {
                     await answer.body.dump();
                     return err({ kind: "refused", reason: `the engine answered status ${answer.statusCode}` });
@@ -112,16 +116,19 @@
             }
         },
         load: async signal => {
-            const limited = AbortSignal.any([signal, AbortSignal.timeout(loadTimeoutMilliseconds)]);
+            const bounded = boundSignal(signal, loadTimeoutMilliseconds);
             try {
-                const answer = await request(`http://${address}/load`, { dispatcher, signal: limited });
+                const answer = await request(`http://${address}/load`, { dispatcher, signal: bounded.signal });
                 const checked = loadSchema.safeParse(await answer.body.json());
                 return checked.success
                     ? ok(checked.data)
                     : err({ kind: "refused", reason: "the engine's load report is not valid" });
             }
             catch (error) {
-                return err(upstreamFailure(error, signal));
+                return err(upstreamFailure(error, bounded.signal));
+            }
+            finally {
+                bounded.release();
             }
         },
     };
--- a/src/transport/entryDaemon.ts
+++ b/src/transport/entryDaemon.ts
@@ -5,14 +5,19 @@
 import { v7 as uuid } from "uuid";
 import type { AttemptEvent, TaskTools } from "../coordination/completionTask.js";
 import { runCompletion } from "../coordination/completionTask.js";
+import { createEntryRouting } from "../coordination/entryRouting.js";
 import type { Metrics } from "../coordination/metrics.js";
+import { createRetryBudget } from "../coordination/retryBudget.js";
 import { runServiceCall } from "../coordination/serviceTask.js";
-import { createSimpleChooser } from "../coordination/simpleChooser.js";
+import { createUpstreamDirectory } from "../coordination/upstreamDirectory.js";
+import { startUpstreamWatch } from "../coordination/upstreamWatch.js";
 import type { EntryConfig } from "../protocol/daemonConfig.js";
+import type { SettingsReader } from "../protocol/settingsReader.js";
 import { createAttemptClient } from "./attemptClient.js";
 import { type AnswerEvent, createCallerApplication } from "./callerServer.js";
 import { startDaemonCore, type Tokens } from "./daemonCore.js";
 import { listen, type NodeBindings } from "./httpServer.js";
+import { createLoadProbe } from "./loadProbe.js";
 import type { Logger } from "./logger.js";
 import { systemClock } from "./systemClock.js";
 
@@ -43,23 +48,47 @@
     log("attempt", event);
 };
 
+const defaultRetryBudgetRatio = 0.1;
+const defaultQueueLimit = 256;
+
+/** Requests that may wait for the upstreams of `target`, as its own settings have it. */
+const queueLimit = (settings: SettingsReader, target: string): number => {
+    const [kind = "", ...name] = target.split("/");
+    const readers: Record<string, typeof settings.group | typeof settings.service> = {
+        groups: settings.group,
+        services: settings.service,
+    };
+    return readers[kind]?.(name.join("/"))?.queueLimit ?? defaultQueueLimit;
+};
+
 /** Starts an entry; it serves as soon as it listens, with the settings that it has read so far. */
 export const startEntry = async (config: EntryConfig, tokens: Tokens, logger: Logger): Promise<EntryDaemon> => {
     const stopping = new AbortController();
     const core = startDaemonCore(config, tokens, stopping.signal);
     const { settings, hostList, metrics } = core;
-    const chooser = createSimpleChooser({
+    const directory = createUpstreamDirectory({
+        clock: systemClock,
+        host: config.host,
         availabilityZone: config.availabilityZone,
-        hosts: hostList.hosts,
-        groupsOfModel: settings.groupsOfModel,
         isZoneOut: core.isZoneOut,
     });
+    hostList.onChange(({ version, hosts }) => directory.replaceHosts(version, hosts));
+    const probe = createLoadProbe(tokens.peerToken);
+    startUpstreamWatch({ directory, probe, clock: systemClock, random: Math.random }, stopping.signal);
+    const routing = createEntryRouting({
+        directory,
+        clock: systemClock,
+        random: Math.random,
+        groupsOfModel: settings.groupsOfModel,
+        queueLimit: target => queueLimit(settings, target),
+    });
+    const budget = createRetryBudget(systemClock, () => settings.root()?.retryBudgetRatio ?? defaultRetryBudgetRatio);
     const tools: TaskTools = {
-        chooser,
+        chooser: routing,
         attempts: createAttemptClient(tokens.peerToken),
         clock: systemClock,
         newId: uuid,
-        takeRetry: () => true,
+        takeRetry: budget.takeRetry,
         onAttempt: recordAttempt(metrics, logger),
     };
     const callers = createCallerApplication({
@@ -67,12 +96,18 @@
         settings,
         now: systemClock.now,
         newId: uuid,
-        complete: (work, limits, onToken, gone) => runCompletion(tools, work, limits, onToken, gone),
-        callService: (work, limits, gone) => runServiceCall(tools, work, limits, gone),
+        complete: (work, limits, onToken, gone) => {
+            budget.recordRequest();
+            return runCompletion(tools, work, limits, onToken, gone);
+        },
+        callService: (work, limits, gone) => {
+            budget.recordRequest();
+            return runServiceCall(tools, work, limits, gone);
+        },
         onAnswer: recordAnswer(metrics, logger),
     });
     const control = new Hono<NodeBindings>();
-    core.addRoutes(control, () => ({ role: "entry" }));
+    core.addRoutes(control, () => ({ role: "entry", upstreams: directory.views(), queues: routing.queueLengths() }));
     const callerListener = await listen(callers, config.listen);
     const controlListener = await listen(control, config.control);
     core.startRelay(controlListener.address);
