Judge a request body's declared length by its header

Cause: the body limit asked for the request's body first, for which the server adapter builds a full web request and stream; a profile of an entry under load gave it 0.5 to 0.8 ms of each request. Ruled out: authentication and the schema check, which together took a fifth of that. Bodies in chunks are still counted as they arrive.

--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -6,7 +6,7 @@
  * have passed.
  */
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
-import { type Context, Hono } from "hono";
+import { type Context, Hono, type MiddlewareHandler } from "hono";
 import { bodyLimit } from "hono/body-limit";
 import type { ContentfulStatusCode } from "hono/utils/http-status";
 import { err, ok, type Result } from "neverthrow";
@@ -271,12 +271,24 @@
     return context.body(body, status as ContentfulStatusCode);
 };
 
+/** Refuses bodies over the limit; a declared length is judged without the cost of a web stream for the body. */
+const limitBody = (): MiddlewareHandler<NodeBindings> => {
+    const tooLarge = (context: Context): Response =>
+        refuse(context, refusal("body-too-large", [String(largestBodyBytes)]));
+    const countBody = bodyLimit({ maxSize: largestBodyBytes, onError: tooLarge });
+    return async (context, next) => {
+        const { "content-length": length, "transfer-encoding": encoding } = context.env.incoming.headers;
+        if (encoding !== undefined) {
+            return countBody(context, next);
+        }
+        return Number(length ?? 0) > largestBodyBytes ? tooLarge(context) : next();
+    };
+};
+
 /** Builds the application that answers callers. */
 export const createCallerApplication = (tools: CallerTools): Hono<NodeBindings> => {
     const application = new Hono<NodeBindings>();
-    const tooLarge = (context: Context): Response =>
-        refuse(context, refusal("body-too-large", [String(largestBodyBytes)]));
-    application.use(bodyLimit({ maxSize: largestBodyBytes, onError: tooLarge }));
+    application.use(limitBody());
     application.get("/health", context => context.text("ok"));
     application.post("/v1/completions", completionRoute(tools, "text"));
     application.post("/v1/chat/completions", completionRoute(tools, "chat"));
