--- a/src/protocol/settingsDocument.ts
+++ b/src/protocol/settingsDocument.ts
@@ -142,12 +142,12 @@
         : node;
 };
 
-const isOrderedZone = (state: SettingsState, path: SettingsPath): boolean =>
-    kindOfPath(path) === "availabilityZone" && nodeAt(state, path)?.["state"] !== undefined;
+const isZoneOut = (state: SettingsState, path: SettingsPath): boolean =>
+    kindOfPath(path) === "availabilityZone" && nodeAt(state, path)?.["state"] === "out";
 
 /** The edits that make the tree of `state` equal to `document`; removals come first. */
 export const planEdits = (state: SettingsState, document: SettingsDocument): SettingsEdit[] => {
-    const gone = livePaths(state).filter(path => !Object.hasOwn(document.nodes, path) && !isOrderedZone(state, path));
+    const gone = livePaths(state).filter(path => !Object.hasOwn(document.nodes, path) && !isZoneOut(state, path));
     const removed = gone.filter(path => !ancestorsOf(path).some(ancestor => gone.includes(ancestor)));
     const edits = Object.entries(document.nodes).flatMap(([path, node]) => {
         const wanted = wantedNode(state, path, node);
--- a/src/transport/operatorClient.ts
+++ b/src/transport/operatorClient.ts
@@ -6,9 +6,9 @@
 import type { Result } from "neverthrow";
 import { request } from "undici";
 import type { ZoneOrder, ZoneState } from "../coordination/zoneOrders.js";
+import { operatorEndpoint } from "../protocol/controlPaths.js";
 import type { OperatorRouter } from "../protocol/operatorRouter.js";
 import { boundSignal } from "./boundedSignal.js";
-import { operatorEndpoint } from "./peerServer.js";
 
 const timeoutMilliseconds = 5_000;
 
--- a/src/transport/peerClient.ts
+++ b/src/transport/peerClient.ts
@@ -4,9 +4,9 @@
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { err, ok } from "neverthrow";
 import type { PeerExchange } from "../coordination/relay.js";
+import { peerEndpoint } from "../protocol/controlPaths.js";
 import type { PeerRouter } from "../protocol/peerRouter.js";
 import { boundSignal } from "./boundedSignal.js";
-import { peerEndpoint } from "./peerServer.js";
 
 const timeoutMilliseconds = 2_000;
 
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -3,6 +3,7 @@
  */
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
 import type { Hono } from "hono";
+import { operatorEndpoint, peerEndpoint } from "../protocol/controlPaths.js";
 import { operatorRouter } from "../protocol/operatorRouter.js";
 import type { OperatorContext } from "../protocol/operatorRouter.js";
 import { peerRouter } from "../protocol/peerRouter.js";
@@ -10,12 +11,6 @@
 import { requireToken } from "./daemonRoutes.js";
 import type { NodeBindings } from "./httpServer.js";
 
-/** Path below which the peers' router is served. */
-export const peerEndpoint = "/peer";
-
-/** Path below which the operators' router is served. */
-export const operatorEndpoint = "/operator";
-
 /** Adds the procedures for peers; a request without `peerToken` gets status 401 and reaches none of them. */
 export const addPeerRoutes = (application: Hono<NodeBindings>, context: PeerContext, peerToken: string): void => {
     application.use(`${peerEndpoint}/*`, requireToken(peerToken));
--- /dev/null
+++ b/tests/operatorProgram.test.ts
@@ -0,0 +1,79 @@
+import { expect } from "chai";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { startPlatform } from "../src/standin/platform.js";
+import type { Platform } from "../src/standin/platform.js";
+import { systemClock as clock } from "../src/transport/systemClock.js";
+import { startProgram } from "./support/processes.js";
+
+describe("operators' program", () => {
+    const stop = new AbortController();
+    const folder = mkdtempSync(join(tmpdir(), "operators-"));
+    let platform: Platform;
+
+    before(async () => {
+        platform = await startPlatform({ listen: "127.0.0.1:0", clock, signal: stop.signal });
+    });
+
+    after(() => {
+        stop.abort();
+        rmSync(folder, { recursive: true });
+    });
+
+    /** Runs the program against the platform and gives its exit status and output. */
+    const run = async (...parameters: string[]) => {
+        const program = startProgram("cyclamengap", [...parameters, "--platform", `http://${platform.address}`]);
+        const status = await program.exited;
+        return { status, output: program.output() };
+    };
+
+    const write = (name: string, text: string): string => {
+        const file = join(folder, name);
+        writeFileSync(file, text);
+        return file;
+    };
+
+    it("checks a document, applies it and shows where each value comes from", async () => {
+        const wrong = write("wrong.jsonc", `{\n "": { "queueLimits": 4 }\n}`);
+        const checked = await run("settings", "check", wrong);
+        expect(checked.status).to.equal(2);
+        expect(checked.output).to.contain(`wrong.jsonc:2: field ".queueLimits"`);
+        const file = write(
+            "kuitupuu.jsonc",
+            `{ "": { "queueLimit": 4 }, "clientAccounts/dryers": { "requestsPerSecond": 5 } }`,
+        );
+        expect((await run("settings", "apply", file)).output)
+            .to.contain(`+ "clientAccounts/dryers"`).and.to.contain("accepted at offset 0");
+        expect((await run("settings", "show", "--effective", "client-account", "dryers")).output)
+            .to.contain(`queueLimit: 4  (from "")`)
+            .and.to.contain(`requestsPerSecond: 5  (from "clientAccounts/dryers")`);
+    });
+
+    it("settles a lost answer, and a second run does not undo what others changed since", async () => {
+        const file = write("lost.jsonc", `{ "": { "queueLimit": 5 } }`);
+        platform.log.faults.loseAnswers = 1;
+        expect((await run("settings", "apply", file)).output).to.contain("accepted at offset 1");
+        const edits = [{ path: "", base: 1, value: { queueLimit: 6 } }];
+        platform.log.append("settings", JSON.stringify({ kind: "change", id: "x", author: "", comment: "", edits }));
+        const again = await run("settings", "apply", file);
+        expect(again.status).to.equal(1);
+        expect(again.output).to.contain("accepted at offset 1").and.to.contain("--again");
+    });
+
+    it("takes a zone out and lists the history", async () => {
+        const out = await run("zone", "out", "savo-kuopio", "--author", "aino", "--comment", "works on the feed");
+        expect(out.output).to.contain("accepted at offset 3");
+        expect((await run("settings", "history")).output).to.match(
+            /3 .* accepted .*aino.*savo-kuopio.*works on the feed/,
+        );
+    });
+
+    it("tells an outage of the log apart from a rejected change", async () => {
+        platform.log.faults.outage = true;
+        const { status, output } = await run("zone", "in", "savo-kuopio", "--timeout-seconds", "0.2");
+        platform.log.faults.outage = false;
+        expect(status).to.equal(3);
+        expect(output).to.contain("can't be read");
+    });
+});
--- /dev/null
+++ b/tests/settingsDocument.test.ts
@@ -0,0 +1,100 @@
+import { expect } from "chai";
+import { describeProblem } from "../src/protocol/commentedJson.js";
+import { decodeSettingsDocument, describeEdits, planEdits } from "../src/protocol/settingsDocument.js";
+import {
+    clientAccountSettings,
+    groupSettings,
+    isIdempotentRoute,
+    serviceSettings,
+} from "../src/protocol/settingsSchema.js";
+import { foldSettingsRecord } from "../src/state/settingsFold.js";
+import { emptySettings, livePaths, nodeAt } from "../src/state/settingsTree.js";
+import type { SettingsState } from "../src/state/settingsTree.js";
+
+const digest = "a".repeat(64);
+
+const document = `{
+    // Defaults of the whole deployment.
+    "": { "requestTimeoutMilliseconds": 30000 },
+    "availabilityZones/fes-medina": {},
+    "groups": { "coldCapacity": 2 },
+    "groups/council": { "model": "council", "ranks": 4 },
+    "services/dispatch": { "routes": [{ "method": "POST", "pathPrefix": "/search", "idempotent": true }] },
+    "clientAccounts/clerks": { "apiKeyDigests": ["${digest}"], "requestsPerSecond": 20 },
+    "clientAccounts/clerks/fes": { "priority": "interactive" },
+}`;
+
+const decode = (text: string) => decodeSettingsDocument("council.jsonc", text)._unsafeUnwrap();
+
+const problems = (text: string): string[] =>
+    decodeSettingsDocument("council.jsonc", text)._unsafeUnwrapErr().map(describeProblem);
+
+const apply = (state: SettingsState, text: string): SettingsState =>
+    foldSettingsRecord(state, {
+        offset: state.offset + 1,
+        appendedAt: 0,
+        body: { kind: "change", id: "x", author: "", comment: "", edits: planEdits(state, decode(text)) },
+    }).state;
+
+describe("settings document", () => {
+    it("gives each node its own values over its parents' over the defaults", () => {
+        const state = apply(emptySettings, document);
+        expect(groupSettings(state, "council")._unsafeUnwrap())
+            .to.include({ ranks: 4, coldCapacity: 2, capacity: 64, requestTimeoutMilliseconds: 30_000 });
+        expect(clientAccountSettings(state, "clerks/fes")._unsafeUnwrap())
+            .to.deep.equal({ apiKeyDigests: [], requestsPerSecond: 20, priority: "interactive" });
+        const dispatch = serviceSettings(state, "dispatch")._unsafeUnwrap();
+        expect(isIdempotentRoute(dispatch, "POST", "/search/pallets")).to.be.true;
+        expect(isIdempotentRoute(dispatch, "POST", "/dispatches")).to.be.false;
+        expect(clientAccountSettings(state, "buyers")._unsafeUnwrapErr()).to.include({ kind: "absent" });
+    });
+
+    it("names file, line, path and what was expected, for every problem at once", () => {
+        const wrong = document
+            .replace(`"ranks": 4`, `"ranks": "four", "colour": "red"`)
+            .replace(`"interactive"`, `"urgent"`)
+            .replace(`"services/dispatch"`, `"service/dispatch"`);
+        expect(problems(wrong)).to.have.lengthOf(4);
+        expect(problems(wrong).join("\n"))
+            .to.match(/council\.jsonc:6: field "groups\/council\.colour": one of/)
+            .and.to.match(/council\.jsonc:6: field "groups\/council\.ranks": .*expected number/)
+            .and.to.match(/council\.jsonc:7: field "service\/dispatch": a path that/)
+            .and.to.match(/council\.jsonc:9: field "clientAccounts\/clerks\/fes\.priority": .*"interactive"/);
+    });
+
+    it("names what is missing with inheritance, repeated names and a key that two accounts hold", () => {
+        expect(problems(`{ "groups/council": { "ranks": 4 } }`).join())
+            .to.match(/field "groups\/council\.model": .*here or at a parent/);
+        expect(problems(`{\n "": {},\n "": {} }`)).to.deep.equal([
+            `council.jsonc:3: field "": a name that stands once in its object`,
+        ]);
+        const shared = document.replace(`"priority"`, `"apiKeyDigests": ["${digest}"], "priority"`);
+        expect(problems(shared).join()).to.contain(`a key of one account, but "clientAccounts/clerks" has it too`);
+        expect(problems(`{ "": `)[0]).to.match(/^council\.jsonc:1: field "": ValueExpected/);
+    });
+
+    it("plans nothing where the tree equals the document, and shows each value that would change", () => {
+        const state = apply(emptySettings, document);
+        expect(planEdits(state, decode(document))).to.deep.equal([]);
+        const edited = decode(document.replace(`"coldCapacity": 2`, `"coldCapacity": 3`));
+        expect(describeEdits(state, planEdits(state, edited)))
+            .to.deep.equal([`~ "groups" (last changed at offset 0)`, "    coldCapacity: 2 → 3"]);
+    });
+
+    it("removes what the document leaves out and keeps what stands below a removed parent", () => {
+        const state = apply(emptySettings, document);
+        const without = document.replace(/.*"clientAccounts\/clerks":.*\n/, "");
+        const after = apply(state, without);
+        expect(nodeAt(after, "clientAccounts/clerks")).to.be.undefined;
+        expect(nodeAt(after, "clientAccounts/clerks/fes")).to.deep.equal({ priority: "interactive" });
+        expect(livePaths(apply(after, "{}"))).to.deep.equal([]);
+    });
+
+    it("leaves a zone out that an operator took out, unless it says otherwise", () => {
+        const out = apply(emptySettings, `{ "availabilityZones/fes-medina": { "state": "out" } }`);
+        expect(nodeAt(apply(out, document), "availabilityZones/fes-medina")).to.deep.equal({ state: "out" });
+        expect(nodeAt(apply(out, "{}"), "availabilityZones/fes-medina")).to.deep.equal({ state: "out" });
+        const back = apply(out, `{ "availabilityZones/fes-medina": { "state": "in" } }`);
+        expect(nodeAt(back, "availabilityZones/fes-medina")).to.deep.equal({ state: "in" });
+    });
+});
--- a/tests/settingsSpread.test.ts
+++ b/tests/settingsSpread.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { err, ok } from "neverthrow";
+import { setMaxListeners } from "node:events";
 import { answerDigests, startRelay } from "../src/coordination/relay.js";
 import type { PeerExchange, RelayTopic } from "../src/coordination/relay.js";
 import { startSettingsFollower } from "../src/coordination/settingsFollower.js";
@@ -10,19 +11,20 @@
 import { decodeSettingsUpdate } from "../src/protocol/settingsUpdate.js";
 import { editFrom } from "../src/state/settingsFold.js";
 import type { SettingsRecord } from "../src/state/types.js";
-import { advanceBy, advanceUntil } from "./support/advance.js";
+import { advanceUntil } from "./support/advance.js";
 import { memoryLog } from "./support/memoryLog.js";
-import { seededRandom } from "./support/random.js";
-import { virtualClock } from "./support/virtualClock.js";
+import { seededRandom } from "./support/seededRandom.js";
+import { steppedClock } from "./support/steppedClock.js";
 
 const inForceLimitMilliseconds = 4_000;
 
 /** A platform's log and daemons of two availability zones, joined by the real relay through JSON. */
 const deployment = (seed: number) => {
-    const clock = virtualClock();
+    const clock = steppedClock(0);
     const random = seededRandom(seed);
     const log = memoryLog<SettingsRecord>(clock);
     const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
     const topics = new Map<string, RelayTopic[]>();
     const unreachable = new Set<string>();
 
@@ -98,7 +100,7 @@
         island.stream.cut = true;
         unreachable.add("operator");
         await orderZone("fes-medina", "in");
-        await advanceBy(clock, 60_000);
+        await clock.run(60_000);
         expect(island.zoneState("fes-medina")).to.equal("out");
         island.stream.cut = false;
         const healed = await advanceUntil(clock, () => island.zoneState("fes-medina") === "in");
@@ -124,7 +126,7 @@
         await orderZone("savo-kuopio", "out");
         for (let round = 0; round < 100; round++) {
             await orderZone("savo-varkaus", round % 2 === 0 ? "out" : "in");
-            await advanceBy(clock, 1_000);
+            await clock.run(1_000);
         }
         const first = log.records()[0]!;
         expect(first.offset, "records were dropped").to.be.above(50);
