--- a/tests/operatorProgram.test.ts
+++ b/tests/operatorProgram.test.ts
@@ -5,6 +5,7 @@
 import { startPlatform } from "../src/standin/platform.js";
 import type { Platform } from "../src/standin/platform.js";
 import { systemClock as clock } from "../src/transport/systemClock.js";
+import { postJson } from "./support/deployment.js";
 import { startProgram } from "./support/processes.js";
 
 describe("operators' program", () => {
@@ -55,7 +56,8 @@
         platform.log.faults.loseAnswers = 1;
         expect((await run("settings", "apply", file)).output).to.contain("accepted at offset 1");
         const edits = [{ path: "", base: 1, value: { queueLimit: 6 } }];
-        platform.log.append("settings", JSON.stringify({ kind: "change", id: "x", author: "", comment: "", edits }));
+        const change = { kind: "change", id: "x", author: "", comment: "", edits };
+        await postJson(`http://${platform.address}/log/settings/records`, change);
         const again = await run("settings", "apply", file);
         expect(again.status).to.equal(1);
         expect(again.output).to.contain("accepted at offset 1").and.to.contain("--again");
