--- a/src/bench/loadExperiment.ts
+++ b/src/bench/loadExperiment.ts
@@ -21,13 +21,17 @@
             { measures: relayed, share: 1, targets: entryTargets(tools) },
             { measures: direct, share: directShare, targets: engineTargets(tools) },
         ];
+        const bench = { host: "bench", pid: process.pid };
+        const engines = deployment.engines.map(({ group, pid }) => ({ host: group, pid }));
         const daemons = [...deployment.entries, ...deployment.agents];
-        const before = await Promise.all(daemons.map(({ pid }) => readUsage(pid)));
+        const others = [...engines, bench];
+        const readAll = () => Promise.all([...daemons, ...others].map(({ pid }) => readUsage(pid)));
+        const before = await readAll();
         const ratePerSecond = options.ratePerSecond * (1 + directShare);
         const seconds = await runCompletionLoad(tools, { ...options, ratePerSecond }, paths);
-        const after = await Promise.all(daemons.map(({ pid }) => readUsage(pid)));
+        const after = await readAll();
         const shares = coreShares(before, after, seconds);
-        const usage = daemons.map(({ host }, index): ReportRow => ({
+        const usage = [...daemons, ...others].map(({ host }, index): ReportRow => ({
             name: `${host}: processor`,
             value: (shares[index] ?? 0) * 100,
             unit: "% of a core",
@@ -38,6 +42,7 @@
                 ...(directShare > 0 ? [...direct.rows(seconds), ...addedRows(relayed, direct)] : []),
                 ...tokenRows(relayed, options.seconds, leastTokensPerSecond),
                 ...usage,
+                ...costRows(shares.slice(0, daemons.length), deployment.entries.length, seconds, relayed),
             ],
             charts: [{
                 title: "First token, 95th percentile of each second",
@@ -84,6 +89,22 @@
     ];
 };
 
+/** Processor time of one relayed request and token, at all entries and at all agents together. */
+const costRows = (shares: readonly number[], entries: number, seconds: number, relayed: PathMeasures): ReportRow[] => {
+    const milliseconds = (from: number, to?: number) =>
+        shares.slice(from, to).reduce((sum, share) => sum + share, 0) * seconds * 1_000;
+    const calls = relayed.ends.of("whole");
+    return [
+        { name: "entries: processor for a request", value: milliseconds(0, entries) / calls, unit: "ms" },
+        { name: "agents: processor for a request", value: milliseconds(entries) / calls, unit: "ms" },
+        {
+            name: "entries: processor for a token",
+            value: milliseconds(0, entries) / relayed.tokens * 1_000,
+            unit: "µs",
+        },
+    ];
+};
+
 /** Tokens a second that reached callers in the second half of the planned load, when as many start as end. */
 const tokenRows = (relayed: PathMeasures, seconds: number, least: number | undefined): ReportRow[] =>
     least === undefined ? [] : [{
