--- a/tests/settingsChange.test.ts
+++ b/tests/settingsChange.test.ts
@@ -5,7 +5,7 @@
 import type { SettingsState } from "../src/state/settingsTree.js";
 import type { SettingsChange, SettingsRecord } from "../src/state/types.js";
 import { memoryLog } from "./support/memoryLog.js";
-import { seededRandom } from "./support/seededRandom.js";
+import { seededRandom } from "./support/random.js";
 import { steppedClock } from "./support/steppedClock.js";
 
 const timeoutMilliseconds = 30_000;
--- a/tests/settingsSpread.test.ts
+++ b/tests/settingsSpread.test.ts
@@ -13,7 +13,7 @@
 import type { SettingsRecord } from "../src/state/types.js";
 import { advanceUntil } from "./support/advance.js";
 import { memoryLog } from "./support/memoryLog.js";
-import { seededRandom } from "./support/seededRandom.js";
+import { seededRandom } from "./support/random.js";
 import { steppedClock } from "./support/steppedClock.js";
 
 const inForceLimitMilliseconds = 4_000;
