Bound each attempt at an entry by timers that end with it

Cause: AbortSignal.timeout kept a timer for the whole time limit of each request, 60 s by default, and each abort without a reason built an error with its stack. Conclusion: kept for the timers that no longer outlive their requests.

--- a/src/coordination/modelAttemptTask.ts
+++ b/src/coordination/modelAttemptTask.ts
@@ -32,6 +32,8 @@
 };
 
 const comeBackSeconds = 1;
+/** Reason of a signal's abort; without one, each abort builds an error with its stack. */
+const attemptFinished = "the attempt has finished";
 
 /** The refusal for each reason of the admission gate. */
 export const admissionRefusals: Record<AdmissionRefusal, (host: string) => Refusal> = {
@@ -59,7 +61,7 @@
     void sendHeartbeats(tools, writer, finished.signal);
 
     const generated = await generate(tools, attempt, permit, writer, stopping);
-    finished.abort();
+    finished.abort(attemptFinished);
     if (generated.isOk()) {
         permit.finish({ result: "completed", tokens: generated.value.tokens - attempt.resumeFrom });
         return ok(ok({ ...generated.value, load: tools.gate.load() }));
--- a/src/transport/attemptClient.ts
+++ b/src/transport/attemptClient.ts
@@ -25,6 +25,7 @@
     silenceTimeoutMilliseconds,
 } from "../protocol/attemptProtocol.js";
 import type { HostRecord } from "../state/types.js";
+import { boundSignal } from "./boundedSignal.js";
 import { readLines } from "./lines.js";
 
 type Answer = Dispatcher.ResponseData;
@@ -106,20 +107,6 @@
     return { kind: "refused", ...checked.data };
 };
 
-/** A signal that aborts with any of `signals`, and when `renew` is not called in time. */
-const silenceGuard = (signal: AbortSignal): { signal: AbortSignal; renew: () => void; stop: () => void; } => {
-    const silence = new AbortController();
-    const timer = setTimeout(
-        () => silence.abort(new Error("the agent fell silent")),
-        silenceTimeoutMilliseconds,
-    );
-    return {
-        signal: AbortSignal.any([signal, silence.signal]),
-        renew: () => void timer.refresh(),
-        stop: () => clearTimeout(timer),
-    };
-};
-
 /** Builds the client; `peerToken` authenticates the entry to the agents. */
 export const createAttemptClient = (peerToken: string): AttemptClient => {
     const dispatcher = new Agent({
@@ -144,7 +131,8 @@
 
     return {
         runModel: async (upstream, attempt, onToken, signal) => {
-            const guard = silenceGuard(AbortSignal.any([signal, AbortSignal.timeout(attempt.timeoutMilliseconds)]));
+            const limited = boundSignal(signal, attempt.timeoutMilliseconds);
+            const guard = boundSignal(limited.signal, silenceTimeoutMilliseconds);
             try {
                 const answer = await send(upstream, "/attempts/model", attempt, guard.signal);
                 if (answer.statusCode !== okStatus) {
@@ -156,13 +144,14 @@
                 return err(connectionFailure(error));
             }
             finally {
-                guard.stop();
+                guard.release();
+                limited.release();
             }
         },
         runService: async (upstream, attempt, signal) => {
-            const limited = AbortSignal.any([signal, AbortSignal.timeout(attempt.timeoutMilliseconds)]);
+            const limited = boundSignal(signal, attempt.timeoutMilliseconds);
             try {
-                const answer = await send(upstream, "/attempts/service", attempt, limited);
+                const answer = await send(upstream, "/attempts/service", attempt, limited.signal);
                 if (answer.statusCode !== okStatus) {
                     return err(await decodeRefusal(answer));
                 }
@@ -175,6 +164,9 @@
             catch (error) {
                 return err(connectionFailure(error));
             }
+            finally {
+                limited.release();
+            }
         },
     };
 };
--- a/src/transport/boundedSignal.ts
+++ b/src/transport/boundedSignal.ts
@@ -7,6 +7,8 @@
 
 export type BoundedSignal = {
     readonly signal: AbortSignal;
+    /** Starts the time limit anew. */
+    readonly renew: () => void;
     /** Drops the timer and the listener; to be called when the call has ended. */
     readonly release: () => void;
 };
@@ -27,5 +29,5 @@
         clearTimeout(timer);
         owner.removeEventListener("abort", abort);
     };
-    return { signal: controller.signal, release };
+    return { signal: controller.signal, renew: () => void timer.refresh(), release };
 };
