Judge the step time by one stream; move work off a stuck engine; keep a draining agent answering for a notice time

Gaps between tokens of many streams, mixed, gave step times of 1 to 13 ms for a step of 10 ms, so the speeds that the choice compares were wrong; the gaps of one stream add up to the time that its tokens took. An agent that closed its idle connections at once could cut a request on its way; it now refuses for two seconds, in which every entry polls it. A listener that closed never ended while polls kept its connections alive.

--- a/src/coordination/admissionGate.ts
+++ b/src/coordination/admissionGate.ts
@@ -1,36 +1,26 @@
 /**
  * The last gate before one upstream: admits no more requests at once than the upstream is known to bear.
  *
- * The limit starts at the cold capacity. It grows only on evidence: work that was admitted after the last collapse,
- * completed, and left the step time within its bound. The first growth needs `warmUpTokens` of such work, and then each
- * completed request adds one place, as long as the present places are in use. It is halved when the step time rises,
- * again and again while it stays up, and collapses to the cold capacity when the engine's incarnation changes. A crash
- * during growth shows that the evidence was too thin, so the next growth needs twice as much. A broken connection may
- * be a crash or just one cut stream: the limit falls at once, and comes back when a report taken later names the same
- * incarnation.
- *
- * An upstream that was withdrawn starts cold when it returns, since nothing vouches for it after its absence.
+ * `admissionLimit` says how many that is; the gate feeds it with what it sees of the upstream: completed work, step
+ * times, broken connections and incarnations.
  *
  * An engine whose step time has risen far may have turned cold under its load, and falls over if the load stays. The
  * work above the halved limit must then leave it: the gate aborts `permit.moved` of the newest movable requests, whose
- * holder cancels them here and lets the entry resume them elsewhere. A permit counts as running until its holder calls
- * `finish`.
+ * holder cancels them here and lets the entry resume them elsewhere. So it does with all of them when the engine is gone
+ * or gives no token any more. A permit counts as running until its holder calls `finish`.
+ *
+ * An upstream that was withdrawn starts cold when it returns, since nothing vouches for it after its absence.
  */
 import { err, ok, type Result } from "neverthrow";
 import { invariant } from "../state/invariant.js";
 import type { Clock, LoadReport, UpstreamState } from "../state/types.js";
-import { createStepTimeWatch, type StepTimeVerdict } from "./stepTimeWatch.js";
+import { createAdmissionLimit, type LimitSettings } from "./admissionLimit.js";
+import { createStepTimeWatch } from "./stepTimeWatch.js";
 
 /** What the settings say about one upstream's admission. */
-export type GateSettings = {
-    /** Requests that a warm upstream runs at once. */
-    capacity: number;
-    /** Requests that it bears while cold. */
-    coldCapacity: number;
+export type GateSettings = LimitSettings & {
     /** Longest step of an engine that is within its means. */
     stepTimeBoundMilliseconds: number;
-    /** Tokens of completed work that a cold upstream must show before its limit grows. */
-    warmUpTokens?: number;
     /** Whether operators or the platform have taken the upstream out of service, so that it drains. */
     withdrawn?: boolean;
 };
@@ -51,7 +41,7 @@
     readonly id: number;
     /** Aborts when the request must leave this upstream and be resumed elsewhere. */
     readonly moved: AbortSignal;
-    /** Counts `tokens` newly generated tokens off the outstanding work. */
+    /** Takes `tokens` newly generated tokens. */
     progress: (tokens: number) => void;
     /** Gives the place back; further calls have no effect. */
     finish: (evidence: Evidence) => void;
@@ -61,12 +51,12 @@
     admit: (request?: AdmissionRequest) => Result<Permit, AdmissionRefusal>;
     /** Takes the engine's incarnation; one not seen before means that the engine started anew and is cold. */
     observeIncarnation: (incarnation: string) => void;
-    /** Takes the time between two tokens of one stream, or the step time that the engine reports. */
-    observeStepTime: (milliseconds: number) => void;
     /** Takes the word that the upstream can't be reached; nothing is admitted until `observeReachable`. */
     observeUnreachable: () => void;
     /** Takes a report that the upstream itself gave: its incarnation at `takenAt`, in milliseconds since the epoch. */
     observeReachable: (incarnation: string, takenAt: number) => void;
+    /** Moves all work elsewhere if running requests have got no token for too long; for a task that calls it often. */
+    checkStall: () => void;
     /** Admits nothing more; running requests finish. */
     drain: () => void;
     load: () => LoadReport;
@@ -76,13 +66,15 @@
     id: number;
     epoch: number;
     movable: boolean;
+    admittedAt: number;
     outstandingTokens: number;
     move: AbortController;
 };
 
-const defaultWarmUpTokens = 2_000;
 const stepsBetweenReductions = 8;
-const largestEvidenceFactor = 64;
+
+/** Running requests that give no token for so long are stuck, in milliseconds; a single long step is shorter. */
+const stallMilliseconds = 5_000;
 
 /** Load reports come late and may still name an incarnation that is gone. */
 const incarnationsRemembered = 16;
@@ -93,120 +85,75 @@
     settings: () => GateSettings;
     incarnation?: string;
 }): AdmissionGate => {
+    const limit = createAdmissionLimit(clock, settings);
     const stepTimes = createStepTimeWatch(clock);
     const admitted = new Map<number, Admitted>();
     let nextId = 1;
     let incarnation = firstIncarnation;
-    let draining = false;
-    let down = false;
-    let wasWithdrawn = false;
     let pastIncarnations: string[] = [];
-    /** Grows with each collapse, so that work admitted before it is no evidence after it. */
-    let epoch = 0;
-    /** Places above the cold capacity that evidence has earned. */
-    let earned = 0;
-    let evidenceTokens = 0;
-    let evidenceFactor = 1;
-    /** Set while a broken connection may have been a crash; holds what evidence had earned until then. */
-    let suspicion: { since: number; earned: number; } | undefined;
+    let isStopping = false;
+    let wasWithdrawn = false;
+    /** Set while the upstream is unreachable or stuck; only a report taken after `since` ends it. */
+    let down: { since: number; } | undefined;
     let stepsSinceReduction = stepsBetweenReductions;
     let outstandingTokens = 0;
 
-    const limit = (): number => {
-        const { capacity, coldCapacity } = settings();
-        return Math.min(capacity, coldCapacity + earned);
-    };
-
-    const requiredTokens = (): number => (settings().warmUpTokens ?? defaultWarmUpTokens) * evidenceFactor;
-
     const moveExcess = (): void => {
         const staying = [...admitted.values()].filter(entry => !entry.move.signal.aborted);
+        const excess = Math.max(0, staying.length - limit.current());
         const movable = staying.filter(entry => entry.movable);
-        const excess = Math.max(0, staying.length - limit());
-        for (const entry of excess === 0 ? [] : movable.slice(-excess)) {
-            entry.move.abort();
-        }
+        movable.slice(Math.max(0, movable.length - excess)).forEach(entry => entry.move.abort());
     };
 
-    const collapse = (): void => {
-        epoch += 1;
-        earned = 0;
-        evidenceTokens = 0;
-        suspicion = undefined;
+    // The streams of an engine that is gone or stuck may never end by themselves.
+    const moveAll = (): void => admitted.forEach(entry => entry.move.abort());
+
+    const startCold = (): void => {
+        limit.collapse();
         stepTimes.reset();
         moveExcess();
     };
 
-    // The engine that ran these requests is gone, so their streams may never end by themselves.
-    const moveAll = (): void => {
-        for (const entry of admitted.values()) {
-            entry.move.abort();
-        }
-    };
-
-    const suspectCrash = (): void => {
-        suspicion ??= { since: clock.now(), earned };
-        earned = 0;
-    };
-
-    const dismissSuspicion = (): void => {
-        earned = Math.max(earned, suspicion?.earned ?? 0);
-        suspicion = undefined;
-    };
-
-    const takeCrash = (): void => {
-        const earnedBefore = Math.max(earned, suspicion?.earned ?? 0);
-        const wasGrowing = earnedBefore > 0 && settings().coldCapacity + earnedBefore < settings().capacity;
-        evidenceFactor = wasGrowing ? Math.min(largestEvidenceFactor, evidenceFactor * 2) : evidenceFactor;
-        moveAll();
-        collapse();
-    };
-
     const takeIncarnation = (next: string): void => {
         if (next === incarnation || pastIncarnations.includes(next)) {
             return;
         }
-        const known = incarnation !== "unknown";
+        const isRestart = incarnation !== "unknown";
         pastIncarnations = [...pastIncarnations, incarnation].slice(-incarnationsRemembered);
         incarnation = next;
-        if (known) {
-            takeCrash();
+        if (isRestart) {
+            limit.takeCrash();
+            stepTimes.reset();
+            moveAll();
         }
     };
 
-    const reduce = (verdict: StepTimeVerdict): void => {
-        stepsSinceReduction = 0;
-        const { coldCapacity } = settings();
-        const halved = Math.floor(Math.min(limit(), admitted.size) / 2);
-        earned = Math.max(0, halved - coldCapacity);
-        if (earned === 0) {
-            epoch += 1;
-            evidenceTokens = 0;
+    const takeDown = (since: number): void => {
+        down ??= { since };
+        startCold();
+        moveAll();
+    };
+
+    const takeStep = (): void => {
+        stepsSinceReduction += 1;
+        const verdict = stepTimes.verdict(settings().stepTimeBoundMilliseconds);
+        if (verdict === "within-bound" || stepsSinceReduction <= stepsBetweenReductions) {
+            return;
         }
+        stepsSinceReduction = 0;
+        limit.halve(admitted.size);
         if (verdict === "far-risen") {
             moveExcess();
         }
     };
 
-    const takeEvidence = (entry: Admitted, evidence: Evidence, runningBefore: number): void => {
-        if (entry.epoch !== epoch) {
-            return;
-        }
+    const takeEvidence = (evidence: Evidence, runningBefore: number): void => {
         if (evidence.result === "crashed") {
-            suspectCrash();
-            return;
+            limit.suspectCrash();
         }
-        if (evidence.result !== "completed") {
-            return;
-        }
-        if (stepTimes.verdict(settings().stepTimeBoundMilliseconds) !== "within-bound") {
-            return;
-        }
-        evidenceTokens += evidence.tokens;
-        // Work that leaves half of the places empty says nothing about a higher limit.
-        const placesInUse = runningBefore * 2 >= limit();
-        if (evidenceTokens >= requiredTokens() && placesInUse) {
-            earned = Math.min(earned + 1, Math.max(0, settings().capacity - settings().coldCapacity));
+        const isWithinBound = stepTimes.verdict(settings().stepTimeBoundMilliseconds) === "within-bound";
+        if (evidence.result === "completed" && isWithinBound) {
+            limit.takeCompleted(evidence.tokens, runningBefore);
         }
     };
 
@@ -217,35 +164,59 @@
         }
         outstandingTokens -= entry.outstandingTokens;
         invariant(outstandingTokens >= 0, `admission gate of incarnation "${incarnation}" counts tokens below zero`);
-        takeEvidence(entry, evidence, runningBefore);
+        stepTimes.endStream(entry.id);
+        if (entry.epoch === limit.epoch()) {
+            takeEvidence(evidence, runningBefore);
+        }
     };
 
     const progress = (entry: Admitted, tokens: number): void => {
-        const counted = admitted.has(entry.id) ? Math.min(tokens, entry.outstandingTokens) : 0;
+        if (!admitted.has(entry.id)) {
+            return;
+        }
+        const counted = Math.min(tokens, entry.outstandingTokens);
         entry.outstandingTokens -= counted;
         outstandingTokens -= counted;
+        if (stepTimes.takeToken(entry.id)) {
+            takeStep();
+        }
     };
 
     const isDraining = (): boolean => {
-        const withdrawn = settings().withdrawn === true;
-        if (wasWithdrawn && !withdrawn) {
-            collapse();
+        const isWithdrawn = settings().withdrawn === true;
+        const isBack = wasWithdrawn && !isWithdrawn;
+        wasWithdrawn = isWithdrawn;
+        if (isBack) {
+            startCold();
         }
-        wasWithdrawn = withdrawn;
-        return draining || withdrawn;
+        return isStopping || isWithdrawn;
     };
 
     const state = (): UpstreamState => {
         if (isDraining()) {
             return "draining";
         }
-        if (down) {
-            return "down";
-        }
-        if (limit() >= settings().capacity) {
-            return "warm";
-        }
-        return earned === 0 ? "cold" : "warming";
+        return down === undefined ? limit.stage() : "down";
+    };
+
+    const addPermit = (request: AdmissionRequest): Permit => {
+        const entry: Admitted = {
+            id: nextId,
+            epoch: limit.epoch(),
+            movable: request.movable,
+            admittedAt: clock.now(),
+            outstandingTokens: request.tokens,
+            move: new AbortController(),
+        };
+        nextId += 1;
+        admitted.set(entry.id, entry);
+        outstandingTokens += request.tokens;
+        return {
+            id: entry.id,
+            moved: entry.move.signal,
+            progress: tokens => progress(entry, tokens),
+            finish: evidence => finish(entry, evidence),
+        };
     };
 
     return {
@@ -253,67 +224,46 @@
             if (isDraining()) {
                 return err("draining");
             }
-            if (down) {
+            if (down !== undefined) {
                 return err("down");
             }
-            if (admitted.size >= limit()) {
-                return err("full");
-            }
-            const entry: Admitted = {
-                id: nextId,
-                epoch,
-                movable: request.movable,
-                outstandingTokens: request.tokens,
-                move: new AbortController(),
-            };
-            nextId += 1;
-            admitted.set(entry.id, entry);
-            outstandingTokens += request.tokens;
-            return ok({
-                id: entry.id,
-                moved: entry.move.signal,
-                progress: tokens => progress(entry, tokens),
-                finish: evidence => finish(entry, evidence),
-            });
+            return admitted.size >= limit.current() ? err("full") : ok(addPermit(request));
         },
         observeIncarnation: takeIncarnation,
-        observeStepTime: milliseconds => {
-            if (!stepTimes.observe(milliseconds)) {
-                return;
-            }
-            stepsSinceReduction += 1;
-            const verdict = stepTimes.verdict(settings().stepTimeBoundMilliseconds);
-            if (verdict !== "within-bound" && stepsSinceReduction > stepsBetweenReductions) {
-                reduce(verdict);
-            }
-        },
         observeUnreachable: () => {
-            if (!down) {
-                down = true;
-                moveAll();
-                collapse();
+            if (down === undefined) {
+                takeDown(-Infinity);
             }
         },
         observeReachable: (reported, takenAt) => {
-            down = false;
             takeIncarnation(reported);
-            if (suspicion !== undefined && reported === incarnation && takenAt > suspicion.since) {
-                dismissSuspicion();
+            if (down !== undefined && takenAt > down.since) {
+                down = undefined;
+            }
+            if (reported === incarnation) {
+                limit.dismissSuspicion(takenAt);
+            }
+        },
+        checkStall: () => {
+            const oldest = admitted.values().next().value;
+            const lastSign = Math.max(oldest?.admittedAt ?? Infinity, stepTimes.lastTokenAt());
+            if (down === undefined && oldest?.movable === true && clock.now() - lastSign >= stallMilliseconds) {
+                takeDown(clock.now());
             }
         },
         drain: () => {
-            draining = true;
+            isStopping = true;
         },
         load: () => {
-            const stepMilliseconds = stepTimes.median() ?? settings().stepTimeBoundMilliseconds;
+            const stepMilliseconds = stepTimes.mean() ?? settings().stepTimeBoundMilliseconds;
             return {
                 state: state(),
                 incarnation,
                 running: admitted.size,
-                limit: limit(),
+                limit: limit.current(),
                 outstandingTokens,
                 // Speed with all places taken, so that a warming upstream draws work in proportion to its limit.
-                tokensPerSecond: limit() * 1_000 / Math.max(1, stepMilliseconds),
+                tokensPerSecond: limit.current() * 1_000 / Math.max(1, stepMilliseconds),
                 takenAt: clock.now(),
             };
         },
--- a/src/coordination/completionTask.ts
+++ b/src/coordination/completionTask.ts
@@ -28,7 +28,8 @@
     requestId: string;
     clientAccount: string;
     attempt: string;
-    host: string;
+    /** Host of the upstream. */
+    upstream: string;
     outcome: "complete" | AttemptFailure["kind"];
 };
 
@@ -109,12 +110,12 @@
 export const describeAttempt = (
     work: { requestId: string; clientAccount: string; },
     attempt: string,
-    host: string,
+    upstream: string,
     ended: Result<unknown, AttemptFailure>,
 ): AttemptEvent => ({
     requestId: work.requestId,
     clientAccount: work.clientAccount,
     attempt,
-    host,
+    upstream,
     outcome: ended.isOk() ? "complete" : ended.error.kind,
 });
--- a/src/coordination/engineWatch.ts
+++ b/src/coordination/engineWatch.ts
@@ -1,5 +1,6 @@
 /**
- * Polls the model engine beside an agent, so that the gate learns of a restart or a crash without any traffic.
+ * Polls the model engine beside an agent, so that the gate learns of a restart, a crash or a stall that no
+ * request's answer tells of.
  */
 import type { Clock } from "../state/types.js";
 import type { AdmissionGate } from "./admissionGate.js";
@@ -27,6 +28,7 @@
     signal.addEventListener("abort", () => sleep.abort(), { once: true });
 
     const poll = async (): Promise<void> => {
+        gate.checkStall();
         const load = await engine.load(signal);
         if (load.isOk()) {
             failures = 0;
--- a/src/coordination/modelAttemptTask.ts
+++ b/src/coordination/modelAttemptTask.ts
@@ -85,16 +85,10 @@
     writer: AnswerWriter,
     signal: AbortSignal,
 ): Promise<Result<{ tokens: number; finishReason: string; }, UpstreamFailure>> => {
-    let lastTokenAt: number | undefined;
     return tools.engine.generate(
         attempt,
         incarnation => tools.gate.observeIncarnation(incarnation),
         (index, text) => {
-            const now = tools.clock.now();
-            if (lastTokenAt !== undefined) {
-                tools.gate.observeStepTime(now - lastTokenAt);
-            }
-            lastTokenAt = now;
             permit.progress(1);
             writer.token(index, text);
         },
--- a/src/protocol/settingsSchema.ts
+++ b/src/protocol/settingsSchema.ts
@@ -51,6 +51,8 @@
         capacity: positiveCount.default(64),
         /** Running requests a rank that has just started. */
         coldCapacity: positiveCount.default(4),
+        /** Tokens of completed work that a rank that has just started must show before it is given more. */
+        warmUpTokens: count.default(2_000),
         /** Whether the engines refuse an order with an old fencing number. */
         checksFence: z.boolean().default(false),
         stepTimeBoundMilliseconds: z.number().positive().default(75),
--- a/src/transport/agentDaemon.ts
+++ b/src/transport/agentDaemon.ts
@@ -24,6 +24,11 @@
 
 /** Step time at which a plain service counts as strained; it reports none of its own. */
 const serviceStepTimeBoundMilliseconds = 60_000;
+/**
+ * A draining agent answers on for so long that every entry has polled it. A connection closed earlier could cut a
+ * request on its way, and then nobody knows whether it ran.
+ */
+const drainNoticeMilliseconds = 2_000;
 /** An agent without settings admits little, since it doesn't know what its upstream bears. */
 const unknownSettings: GateSettings = { capacity: 1, coldCapacity: 1, stepTimeBoundMilliseconds: 75 };
 
@@ -90,6 +95,7 @@
         stop: async () => {
             gate.drain();
             logger.info("draining", { running: gate.load().running });
+            await systemClock.sleep(drainNoticeMilliseconds, stopping.signal);
             await listener.close();
             stopping.abort();
         },
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -2,7 +2,8 @@
  * HTTP listeners: a hono application on an `ip:port`, with typed answers to what is not even a request.
  *
  * Header floods, slow senders and malformed requests are answered before they reach the application. A listener closes
- * gracefully: it takes no new connection and lets the requests in progress finish.
+ * gracefully: it takes no new connection, lets the requests in progress finish and then closes their connections, which
+ * polls would keep alive for ever.
  */
 import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
 import type { Hono } from "hono";
@@ -18,6 +19,7 @@
 const requestTimeoutMilliseconds = 10_000;
 const keepAliveTimeoutMilliseconds = 30_000;
 const largestHeaderBytes = 16_384;
+const closeSweepMilliseconds = 50;
 const openStatus = 200;
 
 const clientErrorCodes: Record<string, ErrorCode> = {
@@ -76,7 +78,15 @@
 
 const closeGracefully = (server: Server): Promise<void> =>
     new Promise(resolve => {
-        server.close(() => resolve());
+        server.prependListener("request", (request, response) => {
+            response.shouldKeepAlive = false;
+        });
+        server.close(() => {
+            clearInterval(sweep);
+            resolve();
+        });
+        // Connections whose request was in progress become idle later.
+        const sweep = setInterval(() => server.closeIdleConnections(), closeSweepMilliseconds);
         server.closeIdleConnections();
     });
 
--- a/tests/admissionGate.test.ts
+++ b/tests/admissionGate.test.ts
@@ -28,10 +28,11 @@
     }
 };
 
-const steps = (gate: AdmissionGate, clock: ReturnType<typeof virtualClock>, milliseconds: number, count: number) => {
+/** Runs `count` steps of the engine: each permit gets a token at the end of each step. */
+const steps = (permits: Permit[], clock: ReturnType<typeof virtualClock>, milliseconds: number, count: number) => {
     for (let step = 0; step < count; step += 1) {
         clock.advance(milliseconds);
-        gate.observeStepTime(milliseconds);
+        permits.forEach(permit => permit.progress(1));
     }
 };
 
@@ -65,15 +66,13 @@
         expect(gate.load().limit).to.equal(limit);
     });
 
-    it("keeps its limit through one stalled step, which every stream of the rank reports", () => {
+    it("keeps its limit through one stalled step, which every stream of the rank shows", () => {
         const { gate, clock } = createGate();
         warmUp(gate);
-        steps(gate, clock, 20, 3);
-        clock.advance(2_000);
-        for (let stream = 0; stream < 16; stream += 1) {
-            gate.observeStepTime(2_000);
-        }
-        steps(gate, clock, 20, 1);
+        const permits = fill(gate);
+        steps(permits, clock, 20, 4);
+        steps(permits, clock, 2_000, 1);
+        steps(permits, clock, 20, 4);
         expect(gate.load().limit).to.equal(16);
     });
 
@@ -81,7 +80,7 @@
         const { gate, clock } = createGate();
         warmUp(gate);
         const permits = fill(gate);
-        steps(gate, clock, 100, 4);
+        steps(permits, clock, 100, 5);
         expect(gate.load()).to.include({ running: 16, limit: 8 });
         expect(permits.some(permit => permit.moved.aborted)).to.equal(false);
         expect(gate.admit()._unsafeUnwrapErr()).to.equal("full");
@@ -93,16 +92,45 @@
         const kept = gate.admit({ tokens: 50, movable: false })._unsafeUnwrap();
         const permits = fill(gate);
         const moved = () => permits.filter(permit => permit.moved.aborted).length;
-        steps(gate, clock, 400, 3);
+        steps([kept, ...permits], clock, 400, 5);
         expect(gate.load()).to.include({ running: 16, limit: 8 });
         expect([moved(), permits.at(-1)!.moved.aborted, kept.moved.aborted]).to.deep.equal([8, true, false]);
 
         permits.slice(7).forEach(permit => permit.finish({ result: "cancelled", tokens: 10 }));
-        steps(gate, clock, 400, 18);
+        steps([kept, ...permits], clock, 400, 20);
         expect(gate.load()).to.include({ state: "cold", limit: 2 });
         expect(moved()).to.equal(14);
         complete([kept, permits[0]!]);
-        expect(gate.load()).to.include({ limit: 2 });
+        expect(gate.load().limit).to.equal(2);
+    });
+
+    it("measures the step time by another stream when the one it watched gets nothing", () => {
+        const { gate, clock } = createGate();
+        const [waiting, going] = fill(gate);
+        steps([waiting!, going!], clock, 20, 5);
+        const { tokensPerSecond } = gate.load();
+        expect(tokensPerSecond).to.be.closeTo(100, 1);
+        steps([going!], clock, 40, 40);
+        expect(gate.load().tokensPerSecond).to.be.closeTo(50, 1);
+    });
+
+    it("moves all work elsewhere when no request gets a token any more, until the engine makes steps again", () => {
+        const { gate, clock } = createGate();
+        warmUp(gate);
+        const permits = fill(gate);
+        steps(permits, clock, 20, 4);
+        clock.advance(4_000);
+        gate.checkStall();
+        expect(gate.load().state).to.equal("warm");
+
+        clock.advance(1_000);
+        gate.checkStall();
+        gate.observeReachable("first", clock.now() - 1_000);
+        expect(gate.load().state).to.equal("down");
+        expect(permits.every(permit => permit.moved.aborted)).to.equal(true);
+
+        gate.observeReachable("first", clock.now() + 20);
+        expect(gate.load()).to.include({ state: "cold", limit: 2 });
     });
 
     it("starts cold again with a changed incarnation and lets go of what the lost engine ran", () => {
