Read the lines of an answer a chunk at a time and whole answers to their end

Cause: leaving an answer at its closing frame destroyed its body, which built an abort error for each request and closes the connection when the end of the body comes in a later packet; each line was a turn of an async generator. Before and after, two deployments side by side on a busy machine, 80 requests/s of 8 tokens: entry 5.04 and 4.93 ms of processor time a request, agent 5.72 and 5.37 ms; equal builds differed by 3%. Conclusion: kept; the gain at the agent is above the noise, that at the entry is not.

--- a/src/transport/attemptClient.ts
+++ b/src/transport/attemptClient.ts
@@ -68,21 +68,19 @@
     }
 };
 
-const readFrames = async (
-    answer: Answer,
-    attempt: ModelAttempt,
-    onToken: TokenSink,
-    onSign: () => void,
-): Promise<Result<ModelEnd, AttemptFailure>> => {
+/**
+ * Gives a function that takes the lines of one answer in order: it passes tokens on and gives the answer's end, once it
+ * is known.
+ */
+const frameTaker = (attempt: ModelAttempt, onToken: TokenSink) => {
     let next = attempt.resumeFrom;
-    for await (const line of readLines(answer.body)) {
-        onSign();
+    return (line: string): Result<ModelEnd, AttemptFailure> | undefined => {
         const frame = decodeFrame(line);
         if (frame === undefined) {
             return err({ kind: "cut", reason: "a frame is not valid" });
         }
         if (frame.type === "heartbeat") {
-            continue;
+            return undefined;
         }
         if (frame.type !== "token") {
             return frame.attempt === attempt.attempt
@@ -94,8 +92,29 @@
         }
         next++;
         onToken(frame.index, frame.text);
+        return undefined;
+    };
+};
+
+const readFrames = async (
+    answer: Answer,
+    attempt: ModelAttempt,
+    onToken: TokenSink,
+    onSign: () => void,
+): Promise<Result<ModelEnd, AttemptFailure>> => {
+    const take = frameTaker(attempt, onToken);
+    let ended: Result<ModelEnd, AttemptFailure> | undefined;
+    for await (const lines of readLines(answer.body)) {
+        onSign();
+        for (const line of lines) {
+            ended ??= take(line);
+        }
+        // A whole answer is read to its end, since leaving it earlier destroys the connection.
+        if (ended?.isErr() === true) {
+            return ended;
+        }
     }
-    return err({ kind: "cut", reason: "the answer ended without its closing frame" });
+    return ended ?? err({ kind: "cut", reason: "the answer ended without its closing frame" });
 };
 
 const decodeRefusal = async (answer: Answer): Promise<AttemptFailure> => {
--- a/src/transport/engineClient.ts
+++ b/src/transport/engineClient.ts
@@ -46,17 +46,23 @@
     attempt: ModelAttempt,
     onToken: TokenSink,
 ): Promise<Result<{ tokens: number; finishReason: string; }, UpstreamFailure>> => {
-    for await (const line of readLines(body)) {
-        const chunk = decodeChunk(line);
-        if (chunk === undefined || chunk.id !== attempt.attempt) {
-            continue;
-        }
-        if (chunk.finish_reason !== undefined) {
-            return ok({ tokens: chunk.index, finishReason: chunk.finish_reason });
+    let finish: { tokens: number; finishReason: string; } | undefined;
+    // The answer is read to its end, since leaving it earlier destroys the connection.
+    for await (const lines of readLines(body)) {
+        for (const line of lines) {
+            const chunk = decodeChunk(line);
+            if (chunk === undefined || chunk.id !== attempt.attempt || finish !== undefined) {
+                continue;
+            }
+            if (chunk.finish_reason === undefined) {
+                onToken(chunk.index, chunk.text ?? "");
+            }
+            else {
+                finish = { tokens: chunk.index, finishReason: chunk.finish_reason };
+            }
         }
-        onToken(chunk.index, chunk.text ?? "");
     }
-    return err({ kind: "cut", reason: "the engine's answer ended early" });
+    return finish === undefined ? err({ kind: "cut", reason: "the engine's answer ended early" }) : ok(finish);
 };
 
 const notSentCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"]);
--- a/src/transport/lines.ts
+++ b/src/transport/lines.ts
@@ -1,15 +1,17 @@
 /**
  * Splits a byte stream into lines, for frames and server-sent events.
  */
-export async function* readLines(chunks: AsyncIterable<Buffer>): AsyncGenerator<string> {
+
+/** Gives the lines of `chunks`, all that one chunk completes at a time. */
+export async function* readLines(chunks: AsyncIterable<Buffer>): AsyncGenerator<string[]> {
     const decoder = new TextDecoder();
     let rest = "";
     for await (const chunk of chunks) {
         const lines = (rest + decoder.decode(chunk, { stream: true })).split("\n");
         rest = lines.pop() ?? "";
-        yield* lines;
+        yield lines;
     }
     if (rest !== "") {
-        yield rest;
+        yield [rest];
     }
 }
