Drop log lines below the level before winston formats them

Cause: winston formats a line, with its time, before its transport drops it for its level; an entry writes two such lines for each request.

--- a/src/transport/logger.ts
+++ b/src/transport/logger.ts
@@ -22,7 +22,10 @@
         transports: [new winston.transports.Console()],
     });
     const write = (severity: "info" | "warn" | "error" | "debug") => (event: string, fields = {}): void => {
-        logger.log(severity, { message: event, event, ...fields });
+        // Winston formats a line before it drops it for its level.
+        if (logger.isLevelEnabled(severity)) {
+            logger.log(severity, { message: event, event, ...fields });
+        }
     };
     return { info: write("info"), warn: write("warn"), error: write("error"), debug: write("debug") };
 };
