--- a/src/coordination/claimKeeper.ts
+++ b/src/coordination/claimKeeper.ts
@@ -193,18 +193,11 @@
     const settleClaim = (key: string, id: string): void => {
         const state = fold.keys.get(key);
         const attempt = openAttempts.get(id);
-        const isHolding = state?.holder?.attempt === id;
-        if (attempt === undefined) {
-            // A claim of an attempt that was given up has turned up late.
-            if (isHolding && state.result === undefined) {
-                appendRelease(key, id);
-            }
-            return;
-        }
-        if (attempt.phase !== "claiming") {
+        // The release of an attempt that was given up is on its way, so a late claim of it needs nothing more.
+        if (attempt?.phase !== "claiming") {
             return;
         }
-        if (!isHolding) {
+        if (state?.holder?.attempt !== id) {
             giveUp(attempt, state?.holder === undefined ? "invalid" : "beaten");
             return;
         }
--- a/src/coordination/runAtMostOnce.ts
+++ b/src/coordination/runAtMostOnce.ts
@@ -9,14 +9,16 @@
 
 const comeBackSeconds = 1;
 
-type Ending = (permit: RunPermit, key: string, service: string) => Refusal;
+type Called = { permit: RunPermit; key: string; service: string; };
 
-const neverRan: Ending = (permit, _key, service) => {
+type Ending = (called: Called) => Refusal;
+
+const neverRan: Ending = ({ permit, service }) => {
     permit.release();
     return refusal("no-upstream", [service], comeBackSeconds);
 };
 
-const mayHaveRun: Ending = (permit, key) => {
+const mayHaveRun: Ending = ({ permit, key }) => {
     permit.lose();
     return refusal("outcome-unknown", [key]);
 };
@@ -49,7 +51,7 @@
     const { permit } = claimed.value;
     const answered = await call();
     if (answered.isErr()) {
-        return err(endings[answered.error.kind](permit, request.key, service));
+        return err(endings[answered.error.kind]({ permit, key: request.key, service }));
     }
     permit.complete(answered.value);
     return ok(answered.value);
--- a/tests/atMostOnce.test.ts
+++ b/tests/atMostOnce.test.ts
@@ -228,7 +228,7 @@
     it("puts the claims that arrive during an append into the next one", async () => {
         const one = fleet.start("one");
         await fleet.clock.run(100);
-        const sends = Array.from({ length: 200 }, (_, number) => fleet.send(one, keyAt(startOfTests, number)));
+        const sends = [...Array(200).keys()].map(number => fleet.send(one, keyAt(startOfTests, number)));
         await fleet.clock.run(200);
 
         expect(fleet.runs).to.have.length(200);
