--- a/src/coordination/runAtMostOnce.ts
+++ b/src/coordination/runAtMostOnce.ts
@@ -11,9 +11,13 @@
 
 type Called = { permit: RunPermit; key: string; service: string; };
 
+<<<<<<< HEAD
 type Ending = (called: Called) => Refusal;
 
 const neverRan: Ending = ({ permit, service }) => {
+=======
+const neverRan: Ending = (permit, unusedKey, service) => {
+>>>>>>> main
     permit.release();
     return refusal("no-upstream", [service], comeBackSeconds);
 };
--- a/src/programs/daemon.ts
+++ b/src/programs/daemon.ts
@@ -4,14 +4,13 @@
 import { err, ok, type Result } from "neverthrow";
 import { readFileSync } from "node:fs";
 import type { z } from "zod";
-import { decodeDaemonConfig, describeProblem } from "../protocol/daemonConfig.js";
+import { decodeCommentedFile, describeProblem } from "../protocol/commentedJson.js";
+import type { Tokens } from "../transport/daemonCore.js";
 import { operatorTokenVariable, peerTokenVariable } from "../transport/tokens.js";
 
 /** Exit status of a daemon whose settings file or environment is wrong. */
 const wrongSettingsStatus = 2;
 
-export type Tokens = { peerToken: string; operatorToken: string; };
-
 const readTokens = (environment: NodeJS.ProcessEnv): Result<Tokens, string[]> => {
     const peerToken = environment[peerTokenVariable];
     const operatorToken = environment[operatorTokenVariable];
@@ -23,7 +22,7 @@
 
 const readConfig = <Schema extends z.ZodType>(schema: Schema, file: string): Result<z.infer<Schema>, string[]> => {
     try {
-        return decodeDaemonConfig(schema, file, readFileSync(file, "utf8"))
+        return decodeCommentedFile(schema, file, readFileSync(file, "utf8"))
             .mapErr(problems => problems.map(describeProblem));
     }
     catch (error) {
--- a/tests/claimsSpec.test.ts
+++ b/tests/claimsSpec.test.ts
@@ -8,7 +8,7 @@
 import type { ClaimEntry } from "../src/state/claimFold.js";
 import { applyClaimRecord, emptyClaimFold } from "../src/state/claimFold.js";
 import { startOfTests, testWindow } from "./support/claimFleet.js";
-import { keyAt } from "./support/keys.js";
+import { keyAt } from "./support/idempotencyKeys.js";
 
 const key = keyAt(startOfTests);
 
