--- a/src/coordination/claimKeeper.ts
+++ b/src/coordination/claimKeeper.ts
@@ -79,6 +79,8 @@
      */
     claim: (request: ClaimRequest, signal: AbortSignal) => Promise<Result<Claimed, Refusal>>;
     state: () => ClaimKeeperState;
+    /** Resolves when all results and releases are on the log, or after `milliseconds`. */
+    drained: (milliseconds: number, signal: AbortSignal) => Promise<void>;
     /** Appends and reads until `signal` aborts. */
     run: (signal: AbortSignal) => Promise<void>;
 };
@@ -372,5 +374,5 @@
         waitingEntries: commit.waiting(),
     });
 
-    return { claim, state, run };
+    return { claim, state, drained: commit.drained, run };
 };
--- a/src/coordination/groupCommit.ts
+++ b/src/coordination/groupCommit.ts
@@ -33,6 +33,7 @@
 const intervalDecay = 0.8;
 const idleMilliseconds = 60_000;
 const queueChange = "queue";
+const drainedChange = "drained";
 
 export type GroupCommitOptions<Entry> = {
     clock: Clock;
@@ -53,6 +54,8 @@
     /** Queues `entry` even when too many wait; for the entries that follow from one admitted earlier. */
     submitAlways: (entry: Entry) => void;
     waiting: () => number;
+    /** Resolves when nothing waits, after `milliseconds`, or when `signal` aborts. */
+    drained: (milliseconds: number, signal: AbortSignal) => Promise<void>;
     /** Appends what is queued until `signal` aborts. */
     run: (signal: AbortSignal) => Promise<void>;
 };
@@ -139,8 +142,19 @@
                 settle(batch, await appendInTime(batch, signal));
                 inFlight = 0;
             }
+            if (queue.length === 0) {
+                changes.announce(drainedChange);
+            }
+        }
+    };
+
+    const waiting = (): number => queue.length + inFlight;
+
+    const drained = async (milliseconds: number, signal: AbortSignal): Promise<void> => {
+        if (waiting() > 0) {
+            await changes.wait(drainedChange, milliseconds, signal);
         }
     };
 
-    return { submit, submitAlways, waiting: () => queue.length + inFlight, run };
+    return { submit, submitAlways, waiting, drained, run };
 };
--- /dev/null
+++ b/src/protocol/claimRecords.ts
@@ -0,0 +1,29 @@
+/**
+ * Records of the `claims/<service>` streams.
+ */
+import { z } from "zod";
+import type { ClaimBatch } from "../state/claimFold.js";
+import { decodeValue } from "./decoding.js";
+
+const result = z.discriminatedUnion("kind", [
+    z.object({
+        kind: z.literal("answered"),
+        answer: z.object({ status: z.int(), contentType: z.string().optional(), body: z.string() }),
+    }),
+    z.object({ kind: z.literal("lost") }),
+]);
+
+const entry = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("claim"), key: z.string(), attempt: z.string(), digest: z.string() }),
+    z.object({ kind: z.literal("release"), key: z.string(), attempt: z.string() }),
+    z.object({ kind: z.literal("result"), key: z.string(), attempt: z.string(), result }),
+]);
+
+const claimBatchSchema = z.object({ agent: z.string(), entries: z.array(entry) });
+
+/** Name of the stream that holds the claims of `service`. */
+export const claimStreamName = (service: string): string => `claims/${service}`;
+
+/** Decodes a record; one that no agent can have written states nothing. */
+export const decodeClaimBatch = (body: unknown): ClaimBatch =>
+    decodeValue(claimBatchSchema, body).unwrapOr({ agent: "", entries: [] }) as ClaimBatch;
--- a/src/state/claimFold.ts
+++ b/src/state/claimFold.ts
@@ -25,6 +25,14 @@
     clockSkew: number;
 };
 
+const longestClockSkew = 300_000;
+
+/** The window for a log that keeps records for `retention` milliseconds. */
+export const claimWindowOf = (retention: number): ClaimWindow => ({
+    length: retention / 2,
+    clockSkew: Math.min(longestClockSkew, retention / 8),
+});
+
 /** Answer of a service, kept for resends. */
 export type StoredAnswer = { status: number; contentType?: string; body: string; };
 
--- a/src/transport/agentDaemon.ts
+++ b/src/transport/agentDaemon.ts
@@ -2,16 +2,24 @@
  * An agent put together: one listener, the gate, the client of its upstream and the followers.
  */
 import { Hono } from "hono";
+import { randomUUID } from "node:crypto";
 import { type AdmissionGate, createAdmissionGate, type GateSettings } from "../coordination/admissionGate.js";
+import { type ClaimKeeper, createClaimKeeper } from "../coordination/claimKeeper.js";
+import { decodedStream } from "../coordination/decodedStream.js";
 import { startEngineWatch } from "../coordination/engineWatch.js";
+import { createServiceGuard } from "../coordination/runAtMostOnce.js";
 import { heartbeatIntervalMilliseconds, loadRoute } from "../protocol/attemptProtocol.js";
+import { claimStreamName, decodeClaimBatch } from "../protocol/claimRecords.js";
 import type { AgentConfig } from "../protocol/daemonConfig.js";
 import type { SettingsReader } from "../protocol/settingsReader.js";
+import { claimWindowOf } from "../state/claimFold.js";
+import { invariant } from "../state/invariant.js";
 import { addModelRoute, addServiceRoute } from "./attemptServer.js";
 import { startDaemonCore, type Tokens } from "./daemonCore.js";
 import { requireToken } from "./daemonRoutes.js";
 import { createEngineClient } from "./engineClient.js";
 import { listen, type NodeBindings } from "./httpServer.js";
+import { createLogClient } from "./logClient.js";
 import type { Logger } from "./logger.js";
 import { createServiceClient } from "./serviceClient.js";
 import { systemClock } from "./systemClock.js";
@@ -39,10 +47,31 @@
     };
 };
 
+const drainMilliseconds = 5_000;
+const millisecondsPerMinute = 60_000;
+
+/** Keeps the claims of a plain service; a model's agent has none. */
+const startClaimKeeper = (config: AgentConfig, signal: AbortSignal): ClaimKeeper | undefined => {
+    const { host, platform, upstream, logRetentionMinutes } = config;
+    if (upstream.kind !== "service") {
+        return undefined;
+    }
+    const stream = createLogClient<unknown>({ platform, stream: claimStreamName(upstream.service) });
+    const keeper = createClaimKeeper({
+        stream: decodedStream(stream, decodeClaimBatch),
+        clock: systemClock,
+        agent: `${host}/${randomUUID()}`,
+        window: claimWindowOf(logRetentionMinutes * millisecondsPerMinute),
+    });
+    void keeper.run(signal);
+    return keeper;
+};
+
 const addAttemptRoutes = (
     application: Hono<NodeBindings>,
     config: AgentConfig,
     gate: AdmissionGate,
+    keeper: ClaimKeeper | undefined,
     signal: AbortSignal,
 ): void => {
     application.get(loadRoute, context => context.json(gate.load()));
@@ -59,11 +88,12 @@
         });
         return;
     }
+    invariant(keeper !== undefined, `agent of service "${config.upstream.service}" has no claim keeper`);
     addServiceRoute(application, {
         host: config.host,
         gate,
         service: createServiceClient(config.upstream.address),
-        guard: (attempt, call, signal) => call(signal),
+        guard: createServiceGuard(keeper, systemClock),
     });
 };
 
@@ -81,8 +111,15 @@
     const application = new Hono<NodeBindings>();
     application.use("/attempts/*", requireToken(tokens.peerToken));
     application.use(loadRoute, requireToken(tokens.peerToken));
-    addAttemptRoutes(application, config, gate, stopping.signal);
-    core.addRoutes(application, () => ({ role: "agent", upstream: config.upstream, load: gate.load() }));
+    const keeper = startClaimKeeper(config, stopping.signal);
+    addAttemptRoutes(application, config, gate, keeper, stopping.signal);
+    const describe = () => ({
+        role: "agent",
+        upstream: config.upstream,
+        load: gate.load(),
+        claims: keeper?.state(),
+    });
+    core.addRoutes(application, describe);
     const listener = await listen(application, config.listen);
     core.startRelay(listener.address);
     return {
@@ -91,6 +128,7 @@
             gate.drain();
             logger.info("draining", { running: gate.load().running });
             await listener.close();
+            await keeper?.drained(drainMilliseconds, stopping.signal);
             stopping.abort();
         },
     };
--- a/tests/support/claimFleet.ts
+++ b/tests/support/claimFleet.ts
@@ -6,11 +6,12 @@
  */
 import { ok, type Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
+import type { ServiceAnswer } from "../../src/coordination/attempts.js";
 import { type ClaimKeeper, createClaimKeeper } from "../../src/coordination/claimKeeper.js";
 import type { LogStream } from "../../src/coordination/logStream.js";
 import { runAtMostOnce } from "../../src/coordination/runAtMostOnce.js";
-import type { ClaimBatch, ClaimWindow, StoredAnswer } from "../../src/state/claimFold.js";
-import type { Refusal } from "../../src/state/errors.js";
+import type { ServiceFailure } from "../../src/coordination/serviceAttemptTask.js";
+import type { ClaimBatch, ClaimWindow } from "../../src/state/claimFold.js";
 import type { Clock } from "../../src/state/types.js";
 import { type FaultyLog, faultyLog } from "./faultyLog.js";
 import { type SteppedClock, steppedClock } from "./steppedClock.js";
@@ -25,7 +26,7 @@
 /** One request on its way through an agent; `ended` stays unset while the agent says nothing. */
 export type Send = { id: string; key: string; agent: string; deadline: number; ended?: Ending; };
 
-export type Ending = { at: number; result: Result<StoredAnswer, Refusal>; };
+export type Ending = { at: number; result: Result<ServiceAnswer, ServiceFailure>; };
 
 export type FleetAgent = {
     name: string;
@@ -97,7 +98,7 @@
         return { name, keeper, pause: gate.close, resume: gate.open, kill: gate.close };
     };
 
-    const runService = async (send: Send): Promise<Result<StoredAnswer, never>> => {
+    const runService = async (send: Send): Promise<Result<ServiceAnswer, never>> => {
         fleet.runs.push({ key: send.key, send: send.id, agent: send.agent, at: clock.now() });
         const body = `receipt ${fleet.runs.length} for ${send.key}`;
         await clock.sleep(fleet.runMilliseconds, signal);
@@ -108,7 +109,7 @@
         const deadline = clock.now() + patience;
         const sent: Send = { id: `send ${fleet.sends.length}`, key, agent: agent.name, deadline };
         fleet.sends.push(sent);
-        void runAtMostOnce(agent.keeper, "dispatch", { key, digest, deadline }, () => runService(sent), signal)
+        void runAtMostOnce(agent.keeper, { key, digest, deadline }, () => runService(sent), signal)
             .then(result => {
                 sent.ended = { at: clock.now(), result };
             });
@@ -130,4 +131,7 @@
 
 /** Outcome of a send as its caller hears it; `undefined` while nothing is said. */
 export const outcomeOf = ({ ended }: Send): string | undefined =>
-    ended?.result.match(answer => answer.body, ({ code, outcome }) => `${outcome}: ${code}`);
+    ended?.result.match(
+        answer => answer.body,
+        failure => failure.kind === "refused" ? `${failure.refusal.outcome}: ${failure.refusal.code}` : "unknown",
+    );
