Plan expert maps in small steps, with two baselines and seeded traces

The planner levels the shares of the replicas first, then adds the few moves that save more step time over the horizon than their transfers cost.

--- /dev/null
+++ b/src/bench/skewExperiment.ts
@@ -0,0 +1,118 @@
+/**
+ * Runs one placement policy on one trace and measures the step-time skew second by second and the bytes moved.
+ *
+ * Plans are made at a fixed interval, and at once when the estimated skew is high, unless the transfers of the last plan
+ * are still under way. A planned map comes
+ * into force once the weight store has served its transfers at its rate. The skew of a second is that of one step with
+ * sampled choices under the map in force, so it includes the noise that no placement can remove.
+ */
+import { emptyEstimate, type ExpertLoadReport, groupLoadOf, includeReports } from "../coordination/expertLoad.js";
+import type { PlacementSettings } from "../coordination/placement.js";
+import { type ExpertMap, movesBetween, stepSkew, stepTime, uniformMap } from "../state/expertMap.js";
+import { seededRandom } from "./randomNumbers.js";
+import { planners, type Policy } from "./skewPolicies.js";
+import { makeReports, type ReportSettings, sampleStep } from "./skewReports.js";
+import type { Trace } from "./skewTrace.js";
+
+export type ExperimentSettings = {
+    placement: PlacementSettings;
+    reports: ReportSettings;
+    planEverySeconds: number;
+    /** Estimated skew above which a plan is made at once. */
+    urgentSkew: number;
+    /** Seconds at the start that are left out of the percentiles, while the first plans are made. */
+    warmUpSeconds: number;
+    seed: number;
+};
+
+export type ExperimentResult = {
+    policy: Policy;
+    /** Skew of each second. */
+    skew: number[];
+    /** Median and 95th percentile of the skew after the warm-up. */
+    median: number;
+    percentile95: number;
+    /** Mean of the slowest rank's time, relative to the time if all ranks were level. */
+    meanSlowest: number;
+    bytesMoved: number;
+    mapsCommitted: number;
+    /** Seconds from the change until the skew is under 1.15 for five seconds; undefined if never, 0 if never above. */
+    recoverySeconds: number | undefined;
+};
+
+const recoveredSkew = 1.15;
+const recoveredForSeconds = 5;
+
+/** The value below which `part` of the values lie. */
+export const percentile = (values: number[], part: number): number => {
+    const sorted = [...values].sort((left, right) => left - right);
+    return sorted[Math.min(sorted.length - 1, Math.floor(part * sorted.length))] ?? NaN;
+};
+
+const recoveryOf = (skew: number[], changeAt: number): number | undefined => {
+    for (let second = changeAt; second + recoveredForSeconds <= skew.length; second++) {
+        if (skew.slice(second, second + recoveredForSeconds).every(value => value < recoveredSkew)) {
+            return second - changeAt;
+        }
+    }
+    return undefined;
+};
+
+/** Runs `policy` on `trace`. */
+export const runExperiment = (policy: Policy, trace: Trace, settings: ExperimentSettings): ExperimentResult => {
+    const { shape } = trace;
+    const random = seededRandom(settings.seed);
+    const skew: number[] = [];
+    const arriving: ExpertLoadReport[][] = [];
+    let estimate = emptyEstimate(shape.ranks);
+    let map = uniformMap(shape);
+    let pending: { map: ExpertMap; readyAt: number; } | undefined;
+    let bytesMoved = 0;
+    let mapsCommitted = 0;
+    let slowest = 0;
+    let level = 0;
+    for (const [second, truth] of trace.seconds.entries()) {
+        if (pending !== undefined && second >= pending.readyAt) {
+            map = pending.map;
+            pending = undefined;
+            mapsCommitted += 1;
+        }
+        const step = stepTime(map, {
+            layers: sampleStep(truth.popularity, settings.reports, random),
+            speeds: truth.speeds,
+        });
+        skew.push(step.slowest / step.mean);
+        if (second >= settings.warmUpSeconds) {
+            slowest += step.slowest;
+            level += step.mean;
+        }
+        arriving.push(makeReports(second, truth, map, settings.reports, random));
+        estimate = includeReports(estimate, arriving[second - settings.reports.lagSeconds] ?? []);
+        if (pending !== undefined || estimate.interval < 0) {
+            continue;
+        }
+        const load = groupLoadOf(estimate);
+        const planNow = second % settings.planEverySeconds === settings.planEverySeconds - 1;
+        if (!planNow && stepSkew(map, load) < settings.urgentSkew) {
+            continue;
+        }
+        const planned = planners[policy](shape, map, load, settings.placement);
+        if (planned !== undefined) {
+            const bytes = movesBetween(map, planned).length * settings.placement.bytesPerExpert;
+            const seconds = policy === "full-re-solve-free" ? 0 : bytes / settings.placement.storeBytesPerSecond;
+            bytesMoved += bytes;
+            pending = { map: planned, readyAt: second + 1 + Math.ceil(seconds) };
+        }
+    }
+    const measured = skew.slice(settings.warmUpSeconds);
+    return {
+        policy,
+        skew,
+        median: percentile(measured, 0.5),
+        percentile95: percentile(measured, 0.95),
+        meanSlowest: slowest / level,
+        bytesMoved,
+        mapsCommitted,
+        recoverySeconds: recoveryOf(skew, trace.changeAt),
+    };
+};
--- /dev/null
+++ b/src/bench/skewReports.ts
@@ -0,0 +1,53 @@
+/**
+ * What a planner sees of a trace: each rank's load report of each second, with sampling noise, lag and gaps.
+ */
+import type { ExpertLoadReport } from "../coordination/expertLoad.js";
+import { type ExpertMap, rankTimes } from "../state/expertMap.js";
+import type { RandomNumber } from "../state/types.js";
+import { normalRandom } from "./randomNumbers.js";
+import type { TraceSecond } from "./skewTrace.js";
+
+/** Size of the group's batch and of the reports' faults. */
+export type ReportSettings = {
+    tokensPerStep: number;
+    expertsPerToken: number;
+    stepsPerSecond: number;
+    /** Age of a report when the planner gets it. */
+    lagSeconds: number;
+    /** Part of the reports that never arrive. */
+    missingPart: number;
+};
+
+/** A count with the noise of independent choices. */
+export const sampledCount = (expected: number, random: RandomNumber): number =>
+    Math.max(0, expected + Math.sqrt(expected) * normalRandom(random));
+
+/** Choices of experts in one step, `counts[layer][expert]`. */
+export const sampleStep = (popularity: number[][], settings: ReportSettings, random: RandomNumber): number[][] => {
+    const choices = settings.tokensPerStep * settings.expertsPerToken;
+    return popularity.map(layer => layer.map(part => sampledCount(part * choices, random)));
+};
+
+/** The reports of one second that will arrive, one from each rank. */
+export const makeReports = (
+    interval: number,
+    truth: TraceSecond,
+    map: ExpertMap,
+    settings: ReportSettings,
+    random: RandomNumber,
+): ExpertLoadReport[] => {
+    const ranks = truth.speeds.length;
+    const choices = settings.tokensPerStep * settings.expertsPerToken * settings.stepsPerSecond;
+    const times = map.layers.map((layer, index) => rankTimes(layer, truth.popularity[index] ?? [], truth.speeds));
+    return [...truth.speeds.keys()].filter(() => random() >= settings.missingPart).map(rank => {
+        const busy = times.reduce((sum, layer) => sum + (layer[rank] ?? 0), 0);
+        const processed = busy * (truth.speeds[rank] ?? 1) * choices;
+        return {
+            rank,
+            interval,
+            counts: truth.popularity.map(layer => layer.map(part => sampledCount(part * choices / ranks, random))),
+            processedTokens: sampledCount(processed, random),
+            busyMilliseconds: busy * 1000,
+        };
+    });
+};
--- /dev/null
+++ b/tests/placement.test.ts
@@ -0,0 +1,120 @@
+/**
+ * Placement of experts: level steps, few moves, and a plan that is a function of its input.
+ */
+import { expect } from "chai";
+import fc from "fast-check";
+import { makeTrace } from "../src/bench/skewTrace.js";
+import { emptyEstimate, groupLoadOf, includeReports } from "../src/coordination/expertLoad.js";
+import { defaultPlacementSettings, planPlacement, ranksWithoutNewWork } from "../src/coordination/placement.js";
+import { type ExpertMap, type GroupLoad, mapFault, stepSkew, stepTime, uniformMap } from "../src/state/expertMap.js";
+
+const shape = { ranks: 8, layers: 3, experts: 16, slotsPerRank: 3 };
+
+const skewedLoad = (seed: number, second = 0): GroupLoad => {
+    const truth = makeTrace(shape, "slow-drift", second + 1, seed).seconds[second]!;
+    return { layers: truth.popularity, speeds: truth.speeds };
+};
+
+/** Plans until the planner keeps the map. */
+const settle = (start: ExpertMap, load: GroupLoad): ExpertMap => {
+    let map = start;
+    for (let turn = 0; turn < 10; turn++) {
+        map = planPlacement(map, load).map;
+    }
+    return map;
+};
+
+describe("placement", () => {
+    it("levels a skewed group and then leaves it alone", () => {
+        const load = skewedLoad(1);
+        expect(stepSkew(uniformMap(shape), load)).to.be.above(1.4);
+        const settled = settle(uniformMap(shape), load);
+        expect(stepSkew(settled, load)).to.be.below(1.05);
+        expect(planPlacement(settled, load).kind).to.equal("keep");
+    });
+
+    it("gives the same plan for the same input", () => {
+        const load = skewedLoad(2);
+        expect(planPlacement(uniformMap(shape), load)).to.deep.equal(planPlacement(uniformMap(shape), load));
+    });
+
+    it("makes only sound maps, whatever the load and the speeds", () => {
+        const load = fc.record({
+            layers: fc.array(
+                fc.array(fc.double({ min: 0, max: 1, noNaN: true }), { minLength: 16, maxLength: 16 }),
+                { minLength: 3, maxLength: 3 },
+            ),
+            speeds: fc.array(fc.constantFrom(0, 0.3, 1, 1, 1, 1.2), { minLength: 8, maxLength: 8 }),
+        });
+        fc.assert(
+            fc.property(load, sample => {
+                const plan = planPlacement(uniformMap(shape), sample);
+                expect(mapFault(plan.map, shape.ranks)).to.equal(undefined);
+                expect(stepTime(plan.map, sample).slowest).to.be.most(stepTime(uniformMap(shape), sample).slowest);
+                expect(plan.moves).to.have.length.most(shape.layers * defaultPlacementSettings.movesPerLayer + 8);
+            }),
+            { seed: 7, numRuns: 150 },
+        );
+    });
+
+    it("moves nothing when the transfers cost more than the step time they save", () => {
+        const dear = { ...defaultPlacementSettings, storeBytesPerSecond: 1e3 };
+        const plan = planPlacement(uniformMap(shape), skewedLoad(3), dear);
+        expect(plan.kind).to.equal("shares");
+        expect(plan.bytes).to.equal(0);
+    });
+
+    it("gives a slow rank less, and unloads a stalled one, which gets no new sequences", () => {
+        const load = skewedLoad(4);
+        const tokensOf = (map: ExpertMap, rank: number): number =>
+            map.layers.reduce(
+                (sum, layer, index) =>
+                    sum + layer[rank]!.reduce((part, slot) => part + slot.share * load.layers[index]![slot.expert]!, 0),
+                0,
+            );
+        const level = shape.layers / shape.ranks;
+        const slow = settle(uniformMap(shape), { ...load, speeds: [0.5, 1, 1, 1, 1, 1, 1, 1] });
+        expect(tokensOf(slow, 0)).to.be.within(0.4 * level, 0.65 * level);
+        const stalledSpeeds = [0, 1, 1, 1, 1, 1, 1, 1];
+        const stalled = settle(uniformMap(shape), { ...load, speeds: stalledSpeeds });
+        expect(tokensOf(stalled, 0)).to.be.below(0.01 * level);
+        expect(ranksWithoutNewWork(stalledSpeeds)).to.deep.equal([0]);
+    });
+
+    it("levels a map without spare slots by exchanging experts", () => {
+        const tight = { ...shape, slotsPerRank: 2 };
+        const load = skewedLoad(6);
+        const after = settle(uniformMap(tight), load);
+        expect(mapFault(after, tight.ranks)).to.equal(undefined);
+        // No placement without replicas is faster than the hottest expert beside the coldest.
+        const bounds = load.layers.map(loads => tight.ranks * (Math.max(...loads) + Math.min(...loads)));
+        const bound = bounds.reduce((sum, value) => sum + value, 0) / bounds.length;
+        expect(stepSkew(uniformMap(tight), load)).to.be.above(1.1 * bound);
+        expect(stepSkew(after, load)).to.be.below(1.02 * bound);
+    });
+});
+
+describe("expert load estimate", () => {
+    const report = (rank: number, interval: number, counts: number[]) => ({
+        rank,
+        interval,
+        counts: [counts],
+        processedTokens: 1000,
+        busyMilliseconds: rank === 1 ? 20 : 10,
+    });
+
+    it("reads a missing report as unknown, not as idle", () => {
+        const whole = includeReports(emptyEstimate(3), [0, 1, 2].map(rank => report(rank, 0, [300, 100])));
+        const gap = includeReports(whole, [report(0, 1, [300, 100])]);
+        expect(gap.popularity[0]![0]).to.be.closeTo(0.75, 1e-9);
+        expect(groupLoadOf(gap).speeds).to.deep.equal([1, 0.5, 1]);
+    });
+
+    it("follows a sudden change at once, and sampling noise slowly", () => {
+        const calm = includeReports(emptyEstimate(3), [report(0, 0, [50_000, 50_000])]);
+        const noisy = includeReports(calm, [report(0, 1, [50_200, 49_800])]);
+        expect(noisy.popularity[0]![0]).to.be.within(0.5, 0.501);
+        const changed = includeReports(noisy, [report(0, 2, [90_000, 10_000])]);
+        expect(changed.popularity[0]![0]).to.equal(0.9);
+    });
+});
--- a/tests/support/deployment.ts
+++ b/tests/support/deployment.ts
@@ -21,7 +21,12 @@
     settings?: Record<string, unknown>;
 };
 
-export type ServicePlan = { service: string; availabilityZone: string; agents: number; settings?: Record<string, unknown>; };
+export type ServicePlan = {
+    service: string;
+    availabilityZone: string;
+    agents: number;
+    settings?: Record<string, unknown>;
+};
 
 export type Plan = {
     entries: { host: string; availabilityZone: string; }[];
@@ -71,7 +76,9 @@
     }
 };
 
-const startStandin = async (parameters: string[]): Promise<{ program: Program; address: string; addresses: string[]; }> => {
+const startStandin = async (
+    parameters: string[],
+): Promise<{ program: Program; address: string; addresses: string[]; }> => {
     const program = startProgram("standin", parameters);
     const { address, addresses } = await program.event("listening");
     return { program, address, addresses };
@@ -90,9 +97,15 @@
         agents: new Map(),
         entries: [],
         change: async nodes => {
-            const edits = Object.entries(nodes).map(([path, value]) => ({ path, base: offsets.get(path) ?? -1, value }));
+            const edits = Object.entries(nodes).map(([path, value]) => ({
+                path,
+                base: offsets.get(path) ?? -1,
+                value,
+            }));
             const change = { kind: "change", id: randomUUID(), author: "test", comment: "", edits };
-            const { offset } = await (await postJson(`${url}/log/settings/records`, change)).json() as { offset: number; };
+            const { offset } = await (await postJson(`${url}/log/settings/records`, change)).json() as {
+                offset: number;
+            };
             edits.forEach(({ path }) => offsets.set(path, offset));
             return offset;
         },
--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -4,7 +4,9 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createInterface } from "node:readline";
 
-export type ProgramEvent = { event: string; address: string; addresses: string[]; control: string; } & Record<string, unknown>;
+export type ProgramEvent =
+    & { event: string; address: string; addresses: string[]; control: string; }
+    & Record<string, unknown>;
 
 export type Program = {
     /** Resolves with the first event, past or future, that satisfies `matches`. */
--- a/tests/wholePath.test.ts
+++ b/tests/wholePath.test.ts
@@ -44,7 +44,9 @@
     });
 
     it("refuses a caller without a key before anything reaches an upstream", async () => {
-        const response = await fetch(`http://${deployment.entries[0]!.address}/services/dispatch/pallets`, { method: "POST" });
+        const response = await fetch(`http://${deployment.entries[0]!.address}/services/dispatch/pallets`, {
+            method: "POST",
+        });
         expect(response.status).to.equal(401);
         expect(response.headers.get("cyclamengap-outcome")).to.equal("not-run");
         expect(await response.json()).to.have.nested.property("error.code", "unauthenticated");
