--- a/src/bench/randomNumbers.ts
+++ b/src/bench/randomNumbers.ts
@@ -23,3 +23,19 @@
     }
     return arrivals;
 };
+
+/** A standard normal number (Box–Muller). */
+export const normalRandom = (random: RandomNumber): number =>
+    Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+
+/** The numbers 0 to `count` - 1 in random order. */
+export const shuffled = (count: number, random: RandomNumber): number[] => {
+    const order = Array.from({ length: count }, (unused, index) => index);
+    for (let last = count - 1; last > 0; last--) {
+        const other = Math.floor(random() * (last + 1));
+        const kept = order[last] as number;
+        order[last] = order[other] as number;
+        order[other] = kept;
+    }
+    return order;
+};
