--- a/src/standin/modelEngine.ts
+++ b/src/standin/modelEngine.ts
@@ -4,6 +4,7 @@
  * Every step lasts as long as the slowest rank needs. While any rank is down after a crash the whole group waits; when
  * it joins anew the formation number grows.
  */
+import { setMaxListeners } from "node:events";
 import type { Clock } from "../state/types.js";
 import { PrefixCache } from "./cacheEvents.js";
 import { EngineRank, type RankSettings } from "./engineRank.js";
@@ -140,6 +141,8 @@
 
 /** Starts a group of ranks and their servers until the signal aborts. */
 export const startEngine = async (options: EngineOptions): Promise<Engine> => {
+    // Each rank's server and each of its sleeps listens to the one signal that stops the group.
+    setMaxListeners(0, options.signal);
     const group = new EngineGroup(options);
     const { hostname, port } = splitAddress(options.listen);
     const servers: RunningServer[] = [];
--- a/src/standin/platformLog.ts
+++ b/src/standin/platformLog.ts
@@ -123,7 +123,7 @@
 
     private async waitForAppend(stream: StreamStore, milliseconds: number, requestSignal: AbortSignal): Promise<void> {
         const waiting = new AbortController();
-        const signal = AbortSignal.any([waiting.signal, this.signal, requestSignal]);
+        const signal = AbortSignal.any([waiting.signal, requestSignal]);
         await Promise.race([stream.nextAppend(signal), this.clock.sleep(milliseconds, signal)]);
         waiting.abort();
     }
