--- a/tests/goldenSessions.test.ts
+++ b/tests/goldenSessions.test.ts
@@ -93,13 +93,15 @@
         expectGolden("cutAndResumedStream", [...caller, ...exchanges()]);
     });
 
-    it("a dispatch, sent again by its caller", async () => {
+    it("a dispatch whose append's answer is lost, sent again by its caller", async () => {
         deployment = await startDeployment(oneService(2));
         const key = uuid();
+        await postJson(`${deployment.platform.url}/faults`, { log: { loseAnswers: 1 } });
         const first = await dispatch(key, `{"pallets":2}`);
         const second = await dispatch(key, `{"pallets":2}`);
         const runs = await getJson<unknown[]>(`http://${deployment.services.get("dispatch")!.address}/_runs`);
-        expectGolden("dispatchAndResend", [...first, ...second, `service runs ${runs.length}`]);
+        const claims = await logRecords("claims/dispatch");
+        expectGolden("dispatchAndResend", [...first, ...second, ...claims, `service runs ${runs.length}`]);
     });
 
     it("two operators whose changes conflict", async () => {
