--- a/src/transport/agentDaemon.ts
+++ b/src/transport/agentDaemon.ts
@@ -105,7 +105,7 @@
 /** Starts an agent. */
 export const startAgent = async (config: AgentConfig, tokens: Tokens, logger: Logger): Promise<AgentDaemon> => {
     const stopping = new AbortController();
-    const core = startDaemonCore(config, tokens, stopping.signal);
+    const core = startDaemonCore(config, tokens, logger, stopping.signal);
     const gate = createAdmissionGate({
         clock: systemClock,
         settings: () => ({
--- a/src/transport/daemonCore.ts
+++ b/src/transport/daemonCore.ts
@@ -19,6 +19,7 @@
 import { readHostList } from "./hostListClient.js";
 import type { NodeBindings } from "./httpServer.js";
 import { createLogClient } from "./logClient.js";
+import type { Logger } from "./logger.js";
 import { createPeerExchange } from "./peerClient.js";
 import { addOperatorProcedures, addPeerRoutes } from "./peerServer.js";
 import { systemClock } from "./systemClock.js";
@@ -46,7 +47,12 @@
 };
 
 /** Starts the followers; all tasks end when `signal` aborts. */
-export const startDaemonCore = (config: DaemonConfig, tokens: Tokens, signal: AbortSignal): DaemonCore => {
+export const startDaemonCore = (
+    config: DaemonConfig,
+    tokens: Tokens,
+    logger: Logger,
+    signal: AbortSignal,
+): DaemonCore => {
     const clock = systemClock;
     const metrics = createMetrics();
     const stream = createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" });
@@ -65,6 +71,8 @@
         zoneOrders.topic,
     ];
     let ownState: HostRecord["state"] | undefined;
+    follower.subscribe(({ offset }) => logger.info("settings in force", { offset }), signal);
+    hostList.onChange(({ version, hosts }) => logger.info("host list", { version, hosts: hosts.length }));
     hostList.onChange(({ hosts }) => {
         ownState = hosts.find(({ host }) => host === config.host)?.state;
     });
--- a/src/transport/entryDaemon.ts
+++ b/src/transport/entryDaemon.ts
@@ -64,7 +64,7 @@
 /** Starts an entry; it serves as soon as it listens, with the settings that it has read so far. */
 export const startEntry = async (config: EntryConfig, tokens: Tokens, logger: Logger): Promise<EntryDaemon> => {
     const stopping = new AbortController();
-    const core = startDaemonCore(config, tokens, stopping.signal);
+    const core = startDaemonCore(config, tokens, logger, stopping.signal);
     const { settings, hostList, metrics } = core;
     const directory = createUpstreamDirectory({
         clock: systemClock,
