--- /dev/null
+++ b/tests/zoneOrders.test.ts
@@ -0,0 +1,81 @@
+import { expect } from "chai";
+import { Hono } from "hono";
+import { createZoneOrders } from "../src/coordination/zoneOrders.js";
+import type { ZoneOrders } from "../src/coordination/zoneOrders.js";
+import { decodeZoneOrders } from "../src/protocol/settingsUpdate.js";
+import { editFrom, foldSettingsRecord } from "../src/state/settingsFold.js";
+import { emptySettings } from "../src/state/settingsTree.js";
+import type { SettingsState } from "../src/state/settingsTree.js";
+import { listen } from "../src/transport/httpServer.js";
+import type { NodeBindings } from "../src/transport/httpServer.js";
+import { orderZone } from "../src/transport/operatorClient.js";
+import { createPeerExchange } from "../src/transport/peerClient.js";
+import { addOperatorProcedures, addPeerRoutes } from "../src/transport/peerServer.js";
+import { virtualClock } from "./support/virtualClock.js";
+
+const zone = "ifrane-nord";
+
+const change = (state: SettingsState, value: Record<string, unknown>): SettingsState => {
+    const edits = [editFrom(state, `availabilityZones/${zone}`, value)];
+    const body = { kind: "change" as const, id: "x", author: "", comment: "", edits };
+    return foldSettingsRecord(state, { offset: state.offset + 1, appendedAt: 0, body }).state;
+};
+
+/** Two daemons of a zone that the log can't reach. */
+const pair = () => {
+    const clock = virtualClock();
+    const settings = { near: emptySettings, far: emptySettings };
+    const near = createZoneOrders({ settings: () => settings.near, clock, decode: decodeZoneOrders });
+    const far = createZoneOrders({ settings: () => settings.far, clock, decode: decodeZoneOrders });
+    return { clock, settings, near, far };
+};
+
+const carry = (from: ZoneOrders, to: ZoneOrders): void => {
+    to.topic.accept(JSON.parse(JSON.stringify(from.topic.newerThan(to.topic.digest(), 1_000) ?? [])));
+};
+
+describe("orders to availability zones without the log", () => {
+    it("hold at once, travel with the relay, and the newest of two wins everywhere", () => {
+        const { clock, near, far } = pair();
+        near.order(zone, "out");
+        carry(near, far);
+        expect(far.orderedState(zone)).to.equal("out");
+        clock.advance(1);
+        far.order(zone, "in");
+        carry(near, far);
+        carry(far, near);
+        expect([near.orderedState(zone), far.orderedState(zone)]).to.deep.equal(["in", "in"]);
+        expect(near.topic.newerThan(far.topic.digest(), 1_000)).to.be.undefined;
+    });
+
+    it("end with the next accepted change of the zone and never come back from a daemon that lags", () => {
+        const { settings, near, far } = pair();
+        near.order(zone, "out");
+        carry(near, far);
+        settings.near = change(settings.near, { state: "in" });
+        expect(near.orderedState(zone)).to.be.undefined;
+        carry(far, near);
+        expect(near.orderedState(zone)).to.be.undefined;
+        expect(far.orderedState(zone), "far has not heard of the change").to.equal("out");
+    });
+
+    it("reach a daemon over its control address only with the right token", async () => {
+        const { clock, near, far } = pair();
+        const { signal } = new AbortController();
+        const application = new Hono<NodeBindings>();
+        addOperatorProcedures(application, { zoneOrders: near }, "operator");
+        addPeerRoutes(application, { topics: [near.topic] }, "peer");
+        const { address, close } = await listen(application, "127.0.0.1:0");
+        const refused = await orderZone(address, "peer", zone, "out", signal);
+        expect(refused.isErr() && near.inForce().length === 0).to.be.true;
+        clock.advance(5);
+        const order = await orderZone(address, "operator", zone, "out", signal);
+        expect(order._unsafeUnwrap()).to.deep.include({ state: "out", revision: -1, givenAt: 5 });
+        const digests = { zoneOrders: far.topic.digest(), unheardOf: 1 };
+        expect((await createPeerExchange("operator")(address, digests, signal)).isErr()).to.be.true;
+        const answer = (await createPeerExchange("peer")(address, digests, signal))._unsafeUnwrap();
+        far.topic.accept(answer["zoneOrders"]);
+        expect(far.orderedState(zone)).to.equal("out");
+        await close();
+    });
+});
