--- a/src/coordination/modelAttemptTask.ts
+++ b/src/coordination/modelAttemptTask.ts
@@ -9,6 +9,7 @@
 import type { Clock } from "../state/types.js";
 import type { AdmissionGate, AdmissionRefusal, Evidence, Permit } from "./admissionGate.js";
 import type { AttemptFailure, ModelAttempt, ModelEnd } from "./attempts.js";
+import { confirmCrash } from "./crashCheck.js";
 import type { EngineClient, UpstreamFailure } from "./upstreamClients.js";
 
 /** How an answer whose stream has opened ends. */
@@ -32,6 +33,8 @@
 };
 
 const comeBackSeconds = 1;
+/** Reason of a signal's abort; without one, each abort builds an error with its stack. */
+const attemptFinished = "the attempt has finished";
 
 /** The refusal for each reason of the admission gate. */
 export const admissionRefusals: Record<AdmissionRefusal, (host: string) => Refusal> = {
@@ -59,7 +62,7 @@
     void sendHeartbeats(tools, writer, finished.signal);
 
     const generated = await generate(tools, attempt, permit, writer, stopping);
-    finished.abort();
+    finished.abort(attemptFinished);
     if (generated.isOk()) {
         permit.finish({ result: "completed", tokens: generated.value.tokens - attempt.resumeFrom });
         return ok(ok({ ...generated.value, load: tools.gate.load() }));
@@ -85,21 +88,20 @@
     writer: AnswerWriter,
     signal: AbortSignal,
 ): Promise<Result<{ tokens: number; finishReason: string; }, UpstreamFailure>> => {
-    let lastTokenAt: number | undefined;
-    return tools.engine.generate(
+    let seen: string | undefined;
+    const generated = await tools.engine.generate(
         attempt,
-        incarnation => tools.gate.observeIncarnation(incarnation),
+        incarnation => {
+            seen = incarnation;
+            tools.gate.observeIncarnation(incarnation);
+        },
         (index, text) => {
-            const now = tools.clock.now();
-            if (lastTokenAt !== undefined) {
-                tools.gate.observeStepTime(now - lastTokenAt);
-            }
-            lastTokenAt = now;
             permit.progress(1);
             writer.token(index, text);
         },
         signal,
     );
+    return generated.isOk() ? generated : err(await confirmCrash(tools.engine, generated.error, seen, signal));
 };
 
 const abortAfter = async (
--- a/tests/atMostOnce.test.ts
+++ b/tests/atMostOnce.test.ts
@@ -7,7 +7,7 @@
 import type { ClaimFleet } from "./support/claimFleet.js";
 import { claimFleet, outcomeOf, startOfTests, testWindow } from "./support/claimFleet.js";
 import type { AppendFate } from "./support/faultyLog.js";
-import { keyAt } from "./support/keys.js";
+import { keyAt } from "./support/idempotencyKeys.js";
 
 const key = keyAt(startOfTests);
 const receipt = `receipt 1 for ${key}`;
@@ -228,7 +228,11 @@
     it("puts the claims that arrive during an append into the next one", async () => {
         const one = fleet.start("one");
         await fleet.clock.run(100);
+<<<<<<< HEAD
+        const sends = [...Array(200).keys()].map(number => fleet.send(one, keyAt(startOfTests, number)));
+=======
         const sends = Array.from({ length: 200 }, (unused, number) => fleet.send(one, keyAt(startOfTests, number)));
+>>>>>>> main
         await fleet.clock.run(200);
 
         expect(fleet.runs).to.have.length(200);
