--- a/src/coordination/settingsTopic.ts
+++ b/src/coordination/settingsTopic.ts
@@ -1,14 +1,14 @@
 /**
  * The relay's topic for settings: a peer that lags a little gets the records it lacks, any other the whole tree.
  */
-import type { SettingsState } from "../state/settingsTree.js";
-import type { LogRecord, SettingsRecord } from "../state/types.js";
+import { snapshotOf, stateOf } from "../state/settingsFold.js";
+import type { LogRecord, SettingsRecord, SettingsSnapshot } from "../state/types.js";
 import type { RelayTopic } from "./relay.js";
 import type { SettingsFollower } from "./settingsFollower.js";
 
 type SettingsUpdate =
     | { kind: "records"; records: LogRecord<SettingsRecord>[]; }
-    | { kind: "state"; state: SettingsState; };
+    | SettingsSnapshot;
 
 /** Reads an update that a peer sent, or undefined if it is malformed; protocol provides it. */
 export type SettingsUpdateDecoder = (update: unknown) => SettingsUpdate | undefined;
@@ -41,15 +41,15 @@
             return undefined;
         }
         const records = withinBytes(follower.recordsAfter(offset) ?? [], maximumBytes - updateEnvelopeBytes);
-        return records.length > 0 ? { kind: "records", records } : { kind: "state", state };
+        return records.length > 0 ? { kind: "records", records } : snapshotOf(state);
     },
     accept: update => {
         const decoded = decode(update);
         if (decoded?.kind === "records") {
             follower.takeRecords(decoded.records);
         }
-        else if (decoded?.kind === "state") {
-            follower.adopt(decoded.state);
+        else if (decoded?.kind === "snapshot") {
+            follower.adopt(stateOf(decoded));
         }
     },
 });
--- a/src/protocol/settingsDocument.ts
+++ b/src/protocol/settingsDocument.ts
@@ -75,7 +75,7 @@
 /** The tree that `nodes` would make on their own. */
 const treeOf = (nodes: Record<SettingsPath, SettingsNode>): SettingsState => ({
     offset: 0,
-    nodes: Object.fromEntries(Object.entries(nodes).map(([path, value]) => [path, { value, offset: 0 }])),
+    nodes: new Map(Object.entries(nodes).map(([path, value]) => [path, { value, offset: 0 }])),
 });
 
 /** Values that are missing or wrong only once a node's inheritance is taken into account. */
--- a/src/protocol/settingsReader.ts
+++ b/src/protocol/settingsReader.ts
@@ -84,7 +84,7 @@
 
     const buildKeyIndex = (state: SettingsState): Map<string, string> => {
         const index = new Map<string, string>();
-        for (const path of Object.keys(state.nodes)) {
+        for (const path of state.nodes.keys()) {
             const digests = path.startsWith(accountsPrefix) ? nodeAt(state, path)?.["apiKeyDigests"] : undefined;
             for (const digest of Array.isArray(digests) ? digests as unknown[] : []) {
                 index.set(String(digest), path.slice(accountsPrefix.length));
--- a/src/protocol/settingsUpdate.ts
+++ b/src/protocol/settingsUpdate.ts
@@ -22,8 +22,9 @@
         records: z.array(z.object({ offset, appendedAt: z.number(), body: z.custom<SettingsRecord>(() => true) })),
     }),
     z.object({
-        kind: z.literal("state"),
-        state: z.object({ offset, nodes: z.record(z.string(), treeNode) }),
+        kind: z.literal("snapshot"),
+        upToOffset: offset,
+        nodes: z.record(z.string(), treeNode),
     }),
 ]);
 
--- a/src/state/settingsFold.ts
+++ b/src/state/settingsFold.ts
@@ -32,17 +32,20 @@
 
 export type SettingsFoldStep = { state: SettingsState; verdict: SettingsVerdict; };
 
+const pathsBelow = ({ nodes }: SettingsState, path: SettingsPath): SettingsPath[] =>
+    [...nodes.keys()].filter(other => isBelow(other, path));
+
 /**
  * The offset of the last accepted change that touched `path`, or -1. An ancestor's removal touches all paths below it;
  * an edit that itself removes `path` touches all below it too, so that their last changes count.
  */
 export const lastTouched = (state: SettingsState, path: SettingsPath, removes: boolean): number => {
-    const own = Object.hasOwn(state.nodes, path) ? state.nodes[path]?.offset ?? -1 : -1;
-    const removals = ancestorsOf(path).map(ancestor => state.nodes[ancestor]?.removedAt ?? -1);
-    const below = removes
-        ? Object.entries(state.nodes).filter(([other]) => isBelow(other, path)).map(([, node]) => node.offset)
-        : [];
-    return Math.max(own, ...removals, ...below);
+    const own = state.nodes.get(path)?.offset ?? -1;
+    const removals = ancestorsOf(path).map(ancestor => state.nodes.get(ancestor)?.removedAt ?? -1);
+    const touched = Math.max(own, ...removals);
+    return removes
+        ? pathsBelow(state, path).reduce((last, below) => Math.max(last, state.nodes.get(below)?.offset ?? -1), touched)
+        : touched;
 };
 
 /** Builds an edit of `path` made from `state`; `value` is absent to remove the node and all below it. */
@@ -87,84 +90,96 @@
         }))
         .filter(({ base, winningOffset }) => base !== winningOffset);
 
-type MutableNodes = Record<SettingsPath, SettingsTreeNode>;
+/** A state under way; copied before its first change, so that a run of records copies a large tree only once. */
+type Draft = { offset: number; nodes: Map<SettingsPath, SettingsTreeNode>; };
 
-const removeNode = (nodes: MutableNodes, path: SettingsPath, offset: number): void => {
-    for (const other of Object.keys(nodes)) {
-        if (isBelow(other, path)) {
-            Reflect.deleteProperty(nodes, other);
-        }
+const applyEdit = (draft: Draft, { path, value }: SettingsEdit, offset: number): void => {
+    if (value === undefined) {
+        pathsBelow(draft, path).forEach(below => draft.nodes.delete(below));
+        draft.nodes.set(path, { offset, removedAt: offset });
+        return;
     }
-    nodes[path] = { offset, removedAt: offset };
+    const removedAt = draft.nodes.get(path)?.removedAt;
+    draft.nodes.set(path, { value, offset, ...(removedAt === undefined ? {} : { removedAt }) });
 };
 
-const setNode = (nodes: MutableNodes, edit: SettingsEdit, offset: number): void => {
-    const removedAt = nodes[edit.path]?.removedAt;
-    nodes[edit.path] = { value: edit.value ?? {}, offset, ...(removedAt === undefined ? {} : { removedAt }) };
+/** What `record` means on top of `state`; the offset after it and the nodes are for the caller to move on. */
+const judge = (state: SettingsState, { offset, body }: LogRecord<SettingsRecord>): SettingsVerdict => {
+    if (offset !== state.offset + 1) {
+        return { kind: offset <= state.offset ? "repeated" : "gap" };
+    }
+    if (isSnapshotOf(body, offset)) {
+        return { kind: "snapshot", upToOffset: body.upToOffset };
+    }
+    if (!isChange(body)) {
+        return { kind: "malformed" };
+    }
+    const conflicts = conflictsOf(state, body);
+    return conflicts.length === 0
+        ? { kind: "accepted", change: body }
+        : { kind: "conflict", change: body, conflicts };
 };
 
-const applyChange = (state: SettingsState, change: SettingsChange, offset: number): SettingsState => {
-    const nodes: MutableNodes = { ...state.nodes };
-    for (const edit of change.edits) {
-        if (edit.value === undefined) {
-            removeNode(nodes, edit.path, offset);
+/** Every record that was read, with its verdict, and the state after the last. */
+export type SettingsFoldRun = {
+    state: SettingsState;
+    steps: { record: LogRecord<SettingsRecord>; verdict: SettingsVerdict; }[];
+};
+
+const foldFrom = (base: SettingsState, records: readonly LogRecord<SettingsRecord>[]): SettingsFoldRun => {
+    let draft: Draft | undefined;
+    let state = base;
+    const steps = records.map(record => {
+        const verdict = judge(state, record);
+        if (verdict.kind === "accepted") {
+            const own = draft ??= { offset: state.offset, nodes: new Map(state.nodes) };
+            verdict.change.edits.forEach(edit => applyEdit(own, edit, record.offset));
+            state = own;
         }
-        else {
-            setNode(nodes, edit, offset);
+        if (verdict.kind !== "repeated" && verdict.kind !== "gap") {
+            state = { offset: record.offset, nodes: state.nodes };
         }
-    }
-    return { offset, nodes };
+        return { record, verdict };
+    });
+    return { state, steps };
 };
 
 /** Folds the next record into `state`; a record at or below its offset, or after a gap, leaves it as it was. */
 export const foldSettingsRecord = (state: SettingsState, record: LogRecord<SettingsRecord>): SettingsFoldStep => {
-    const { offset, body } = record;
-    if (offset <= state.offset) {
-        return { state, verdict: { kind: "repeated" } };
-    }
-    if (offset > state.offset + 1) {
-        return { state, verdict: { kind: "gap" } };
-    }
-    const unchanged: SettingsState = { offset, nodes: state.nodes };
-    if (isSnapshotOf(body, offset)) {
-        return { state: unchanged, verdict: { kind: "snapshot", upToOffset: body.upToOffset } };
-    }
-    if (!isChange(body)) {
-        return { state: unchanged, verdict: { kind: "malformed" } };
-    }
-    const conflicts = conflictsOf(state, body);
-    return conflicts.length === 0
-        ? { state: applyChange(state, body, offset), verdict: { kind: "accepted", change: body } }
-        : { state: unchanged, verdict: { kind: "conflict", change: body, conflicts } };
+    const run = foldFrom(state, [record]);
+    return { state: run.state, verdict: run.steps[0]?.verdict ?? { kind: "gap" } };
 };
 
 /** Takes over the state that another daemon or a snapshot holds, unless this one's offset is as high. */
 export const adoptSettings = (state: SettingsState, other: SettingsState): SettingsState =>
     other.offset > state.offset ? other : state;
 
-/** The snapshot of `state`, to be appended to the stream. */
+/** The snapshot of `state`, to be appended to the stream or given to another daemon. */
 export const snapshotOf = (state: SettingsState): SettingsSnapshot => ({
     kind: "snapshot",
     upToOffset: state.offset,
-    nodes: { ...state.nodes },
+    nodes: Object.fromEntries(state.nodes),
 });
 
-/** Every record that was folded, with its verdict, and the state after the last. */
-export type SettingsFoldRun = {
-    state: SettingsState;
-    steps: { record: LogRecord<SettingsRecord>; verdict: SettingsVerdict; }[];
-};
+/** The state that a snapshot holds. */
+export const stateOf = ({ upToOffset, nodes }: SettingsSnapshot): SettingsState => ({
+    offset: upToOffset,
+    nodes: new Map(Object.entries(nodes)),
+});
 
 const baseForRecords = (state: SettingsState, records: readonly LogRecord<SettingsRecord>[]): SettingsState => {
     const first = records[0];
     if (first === undefined || first.offset <= state.offset + 1) {
         return state;
     }
-    return records.reduce((base, { offset, body }) => {
-        // A snapshot is of use only if the stream still holds every record after the last one that it includes.
-        const usable = isSnapshotOf(body, offset) && body.upToOffset + 1 >= first.offset;
-        return usable ? adoptSettings(base, { offset: body.upToOffset, nodes: body.nodes }) : base;
-    }, state);
+    const snapshots = records.flatMap(({ offset, body }) => isSnapshotOf(body, offset) ? [body] : []);
+    // A snapshot is of use only if the stream still holds every record after the last one that it includes.
+    const newest = snapshots.filter(({ upToOffset }) => upToOffset + 1 >= first.offset)
+        .reduce<SettingsSnapshot | undefined>(
+            (best, snapshot) => best === undefined || snapshot.upToOffset > best.upToOffset ? snapshot : best,
+            undefined,
+        );
+    return newest === undefined ? state : adoptSettings(state, stateOf(newest));
 };
 
 /**
@@ -174,13 +189,4 @@
 export const foldSettingsRecords = (
     state: SettingsState,
     records: readonly LogRecord<SettingsRecord>[],
-): SettingsFoldRun => {
-    let current = baseForRecords(state, records);
-    const steps: SettingsFoldRun["steps"] = [];
-    for (const record of records) {
-        const step = foldSettingsRecord(current, record);
-        current = step.state;
-        steps.push({ record, verdict: step.verdict });
-    }
-    return { state: current, steps };
-};
+): SettingsFoldRun => foldFrom(baseForRecords(state, records), records);
--- a/src/state/settingsTree.ts
+++ b/src/state/settingsTree.ts
@@ -10,10 +10,10 @@
 /** What the log's records up to and including `offset` amount to; -1 when nothing has been read. */
 export type SettingsState = {
     readonly offset: number;
-    readonly nodes: Readonly<Record<SettingsPath, SettingsTreeNode>>;
+    readonly nodes: ReadonlyMap<SettingsPath, SettingsTreeNode>;
 };
 
-export const emptySettings: SettingsState = { offset: -1, nodes: {} };
+export const emptySettings: SettingsState = { offset: -1, nodes: new Map() };
 
 // A digest of an API key names exactly one client account, so the accounts below it must not take it over.
 const valuesNotInherited = new Set(["apiKeyDigests"]);
@@ -34,11 +34,11 @@
 
 /** The node at `path` if the tree holds one that has not been removed. */
 export const nodeAt = (state: SettingsState, path: SettingsPath): SettingsNode | undefined =>
-    Object.hasOwn(state.nodes, path) ? state.nodes[path]?.value : undefined;
+    state.nodes.get(path)?.value;
 
 /** Every path that holds a node, sorted, so that a parent comes before its children. */
 export const livePaths = (state: SettingsState): SettingsPath[] =>
-    Object.keys(state.nodes).filter(path => nodeAt(state, path) !== undefined).sort();
+    [...state.nodes.keys()].filter(path => nodeAt(state, path) !== undefined).sort();
 
 /** The names one level below `parent`, for example every client account: `childNames(state, "clientAccounts")`. */
 export const childPaths = (state: SettingsState, parent: SettingsPath): SettingsPath[] =>
--- a/tests/settingsAcceptance.test.ts
+++ b/tests/settingsAcceptance.test.ts
@@ -9,10 +9,17 @@
     specFold,
 } from "../spec/settingsAcceptance.js";
 import type { SettingsSpecSize, SpecReader, SpecRecord } from "../spec/settingsAcceptance.js";
-import { adoptSettings, editFrom, foldSettingsRecords, lastTouched, snapshotOf } from "../src/state/settingsFold.js";
+import {
+    adoptSettings,
+    editFrom,
+    foldSettingsRecords,
+    lastTouched,
+    snapshotOf,
+    stateOf,
+} from "../src/state/settingsFold.js";
 import { emptySettings, nodeAt } from "../src/state/settingsTree.js";
 import type { SettingsState } from "../src/state/settingsTree.js";
-import type { LogRecord, SettingsRecord } from "../src/state/types.js";
+import type { LogRecord, SettingsRecord, SettingsSnapshot } from "../src/state/types.js";
 
 const sizes: SettingsSpecSize[] = [
     { paths: ["p", "p/c"], readers: 1, changes: 3, copies: 1, snapshots: 0, restarts: 0 },
@@ -126,8 +133,8 @@
             readers[index % readerCount] = foldSettingsRecords(present, records.slice(0, path % 32)).state;
         },
         relay: ({ index, path }) => {
-            const other = JSON.parse(JSON.stringify(readers[path % readerCount])) as SettingsState;
-            readers[index % readerCount] = adoptSettings(readers[index % readerCount]!, other);
+            const other = JSON.parse(JSON.stringify(snapshotOf(readers[path % readerCount]!))) as SettingsSnapshot;
+            readers[index % readerCount] = adoptSettings(readers[index % readerCount]!, stateOf(other));
         },
     };
 
--- a/tests/settingsFold.test.ts
+++ b/tests/settingsFold.test.ts
@@ -83,6 +83,6 @@
     it("reads past records that it does not understand, as every other version does", () => {
         const junk = [{ kind: "later" }, 7, null, { kind: "change", id: "x", edits: [{ path: "a//b", base: -1 }] }];
         const records = junk.map((body, offset) => at(offset, body as unknown as SettingsRecord));
-        expect(foldSettingsRecords(emptySettings, records).state).to.deep.equal({ offset: 3, nodes: {} });
+        expect(foldSettingsRecords(emptySettings, records).state).to.deep.equal({ offset: 3, nodes: new Map() });
     });
 });
