--- /dev/null
+++ b/spec/settingsAcceptance.ts
@@ -0,0 +1,295 @@
+/**
+ * Specification of the settings stream, small enough to be explored exhaustively.
+ *
+ * Operators append changes that were planned from any earlier state; an append whose answer was lost is sent again, or
+ * its first copy comes late, which gives the log a second copy. Readers read record by record, start anew with nothing,
+ * start from snapshots where the log has dropped records, and take over each other's state through the relay. A reader
+ * that is paused or cut off does nothing for a while.
+ */
+import { getAdjacencyMap } from "@xstate/graph";
+import { type EventObject, fromTransition } from "xstate";
+
+/** One edit of one path; `base` is the offset that the operator saw as its last touch. */
+export type SpecEdit = { path: string; removes: boolean; base: number; };
+
+/** What a reader knows of a path: the offset of the change that set its value (-1: none) and of its last touch. */
+type SpecNode = { value: number; touched: number; };
+export type SpecTree = Record<string, SpecNode>;
+export type SpecReader = { offset: number; tree: SpecTree; };
+
+/** `seen` is the offset of the state that the change was planned from; only the invariants look at it. */
+type SpecChange = { kind: "change"; edit: SpecEdit; seen: number; };
+type SpecSnapshot = { kind: "snapshot"; upToOffset: number; tree: SpecTree; };
+export type SpecRecord = SpecChange | SpecSnapshot;
+
+export type SettingsSpecState = {
+    log: SpecRecord[];
+    /** Oldest offset that the log still keeps. */
+    first: number;
+    readers: SpecReader[];
+    changesLeft: number;
+    copiesLeft: number;
+    snapshotsLeft: number;
+    restartsLeft: number;
+    /** Whether a reader's offset ever went down other than by a restart. */
+    wentBack: boolean;
+};
+
+type SettingsSpecEvent =
+    & EventObject
+    & (
+        | { type: "append"; change: SpecChange; }
+        | { type: "appendCopy"; change: SpecChange; }
+        | { type: "read" | "restart" | "snapshot"; reader: number; }
+        | { type: "relay"; reader: number; from: number; }
+        | { type: "drop"; }
+    );
+
+/** Rules that a broken variant replaces. */
+export type SettingsRules = {
+    /** Whether a change is accepted, by its base and the last touch of its path. */
+    accepts: (base: number, lastTouched: number) => boolean;
+    /** Whether a removal touches the paths below the removed one. */
+    removalTouchesBelow: boolean;
+    /** Offset after which a reader goes on that starts from the snapshot at `snapshotOffset`. */
+    startsAfter: (snapshotOffset: number, upToOffset: number) => number;
+    /** Whether a reader takes over the state of another through the relay. */
+    takesOver: (own: SpecReader, other: SpecReader) => boolean;
+};
+
+export const settingsRules: SettingsRules = {
+    accepts: (base, lastTouched) => base === lastTouched,
+    removalTouchesBelow: true,
+    startsAfter: (snapshotOffset, upToOffset) => Math.min(snapshotOffset, upToOffset),
+    takesOver: (own, other) => other.offset > own.offset,
+};
+
+const isBelow = (path: string, ancestor: string): boolean => path.startsWith(`${ancestor}/`);
+
+const touches = (edit: { path: string; removes: boolean; }, path: string): boolean =>
+    edit.path === path || edit.removes && isBelow(path, edit.path);
+
+/** Last touch of all that an edit touches. */
+export const specBase = (tree: SpecTree, edit: { path: string; removes: boolean; }): number =>
+    Math.max(...Object.entries(tree).filter(([path]) => touches(edit, path)).map(([, { touched }]) => touched));
+
+export const emptySpecReader = (paths: readonly string[]): SpecReader => ({
+    offset: -1,
+    tree: Object.fromEntries(paths.map(path => [path, { value: -1, touched: -1 }])),
+});
+
+/** Folds the next record into `reader`, and says whether it is an accepted change. */
+export const specFold = (
+    rules: SettingsRules,
+    reader: SpecReader,
+    record: SpecRecord,
+): { reader: SpecReader; accepted: boolean; } => {
+    const offset = reader.offset + 1;
+    if (record.kind === "snapshot" || !rules.accepts(record.edit.base, specBase(reader.tree, record.edit))) {
+        return { reader: { ...reader, offset }, accepted: false };
+    }
+    const { edit } = record;
+    const nodes = Object.entries(reader.tree).map(([path, node]): [string, SpecNode] => {
+        const isTouched = path === edit.path || rules.removalTouchesBelow;
+        const value = edit.removes ? -1 : offset;
+        return [path, touches(edit, path) ? { value, touched: isTouched ? offset : node.touched } : node];
+    });
+    return { reader: { offset, tree: Object.fromEntries(nodes) }, accepted: true };
+};
+
+/** What `reader` holds after its next read: one more record, or where records are missing the newest usable snapshot. */
+const readNext = (rules: SettingsRules, { log, first }: SettingsSpecState, reader: SpecReader): SpecReader => {
+    const record = log[reader.offset + 1];
+    if (reader.offset + 1 >= first) {
+        return record === undefined ? reader : specFold(rules, reader, record).reader;
+    }
+    const starts = log.flatMap((candidate, offset) =>
+        candidate.kind === "snapshot" && offset >= first && candidate.upToOffset + 1 >= first
+            ? [{ offset: rules.startsAfter(offset, candidate.upToOffset), tree: candidate.tree }]
+            : []
+    );
+    return starts.findLast(start => start.offset > reader.offset) ?? reader;
+};
+
+const replaceAt = <Item>(items: readonly Item[], position: number, item: Item): Item[] =>
+    items.map((present, index) => index === position ? item : present);
+
+const readerAt = (state: SettingsSpecState, position: number): SpecReader =>
+    state.readers[position] ?? emptySpecReader([]);
+
+const withReader = (state: SettingsSpecState, position: number, reader: SpecReader): SettingsSpecState => ({
+    ...state,
+    readers: replaceAt(state.readers, position, reader),
+    wentBack: state.wentBack || reader.offset < readerAt(state, position).offset,
+});
+
+const handle = (rules: SettingsRules, state: SettingsSpecState, event: SettingsSpecEvent): SettingsSpecState => {
+    switch (event.type) {
+        case "append":
+            return { ...state, log: [...state.log, event.change], changesLeft: state.changesLeft - 1 };
+        case "appendCopy":
+            return { ...state, log: [...state.log, event.change], copiesLeft: state.copiesLeft - 1 };
+        case "read":
+            return withReader(state, event.reader, readNext(rules, state, readerAt(state, event.reader)));
+        case "relay":
+            return withReader(state, event.reader, readerAt(state, event.from));
+        case "restart": {
+            const empty = emptySpecReader(Object.keys(readerAt(state, event.reader).tree));
+            const readers = replaceAt(state.readers, event.reader, empty);
+            return { ...state, readers, restartsLeft: state.restartsLeft - 1 };
+        }
+        case "snapshot": {
+            const { offset, tree } = readerAt(state, event.reader);
+            const log = [...state.log, { kind: "snapshot" as const, upToOffset: offset, tree }];
+            return { ...state, log, snapshotsLeft: state.snapshotsLeft - 1 };
+        }
+        case "drop":
+            return { ...state, first: state.first + 1 };
+    }
+};
+
+export type SettingsSpecSize = {
+    paths: string[];
+    readers: number;
+    changes: number;
+    copies: number;
+    snapshots: number;
+    restarts: number;
+};
+
+const changesFrom = (rules: SettingsRules, state: SettingsSpecState, seen: number): SpecChange[] => {
+    const { tree } = truthAfter(rules, state, seen + 1).reader;
+    return Object.keys(tree).flatMap(path =>
+        [false, true].map(removes => ({
+            kind: "change" as const,
+            edit: { path, removes, base: specBase(tree, { path, removes }) },
+            seen,
+        }))
+    );
+};
+
+const eventsOfOperators = (rules: SettingsRules, state: SettingsSpecState): SettingsSpecEvent[] => {
+    const revisions = [-1, ...state.log.keys()];
+    const changes = state.changesLeft > 0 ? revisions.flatMap(seen => changesFrom(rules, state, seen)) : [];
+    const copies = state.copiesLeft > 0 ? state.log.filter(record => record.kind === "change") : [];
+    return [
+        ...changes.map(change => ({ type: "append" as const, change })),
+        ...copies.map(change => ({ type: "appendCopy" as const, change })),
+    ];
+};
+
+const eventsOfReader = (rules: SettingsRules, state: SettingsSpecState, reader: number): SettingsSpecEvent[] => {
+    const own = readerAt(state, reader);
+    const peers = [...state.readers.keys()].filter(from => rules.takesOver(own, readerAt(state, from)));
+    const hasState = own.offset >= 0;
+    return [
+        ...readNext(rules, state, own) === own ? [] : [{ type: "read" as const, reader }],
+        ...hasState && state.restartsLeft > 0 ? [{ type: "restart" as const, reader }] : [],
+        ...hasState && state.snapshotsLeft > 0 ? [{ type: "snapshot" as const, reader }] : [],
+        ...peers.map(from => ({ type: "relay" as const, reader, from })),
+    ];
+};
+
+const enabledEvents = (rules: SettingsRules, state: SettingsSpecState): SettingsSpecEvent[] => {
+    // Dropping records matters only once there is a snapshot to start from; before, a reader just stays behind.
+    const drops = state.first < state.log.length && state.log.some(({ kind }) => kind === "snapshot");
+    return [
+        ...eventsOfOperators(rules, state),
+        ...[...state.readers.keys()].flatMap(reader => eventsOfReader(rules, state, reader)),
+        ...drops ? [{ type: "drop" as const }] : [],
+    ];
+};
+
+type AcceptedChange = { offset: number; change: SpecChange; };
+
+/** What a reader of the whole log, dropped records or not, holds after `length` records, and what it accepted. */
+const truthAfter = (rules: SettingsRules, state: SettingsSpecState, length: number) => {
+    const accepted: AcceptedChange[] = [];
+    let reader = emptySpecReader(Object.keys(readerAt(state, 0).tree));
+    for (const record of state.log.slice(0, length)) {
+        const step = specFold(rules, reader, record);
+        reader = step.reader;
+        if (step.accepted && record.kind === "change") {
+            accepted.push({ offset: reader.offset, change: record });
+        }
+    }
+    return { reader, accepted };
+};
+
+const overlap = (one: SpecEdit, other: SpecEdit): boolean => touches(one, other.path) || touches(other, one.path);
+
+const isUnseen = (earlier: AcceptedChange, later: AcceptedChange): boolean =>
+    earlier.offset < later.offset && later.change.seen < earlier.offset
+    && overlap(earlier.change.edit, later.change.edit);
+
+const invariants = {
+    "all readers of a prefix agree": (state: SettingsSpecState, rules: SettingsRules): boolean =>
+        state.readers.every(reader =>
+            JSON.stringify(truthAfter(rules, state, reader.offset + 1).reader) === JSON.stringify(reader)
+        ),
+    "no change overwrites one that it was not made from": (state: SettingsSpecState, rules: SettingsRules): boolean => {
+        const { accepted } = truthAfter(rules, state, state.log.length);
+        return !accepted.some(later => accepted.some(earlier => isUnseen(earlier, later)));
+    },
+    "no reader goes back": ({ wentBack }: SettingsSpecState): boolean => !wentBack,
+};
+
+export type SettingsInvariant = keyof typeof invariants;
+
+/** Rules that must each break an invariant, by what is wrong with them. */
+export const brokenSettingsRules: { name: string; rules: SettingsRules; breaks: SettingsInvariant; }[] = [
+    {
+        name: "last writer that wins",
+        rules: { ...settingsRules, accepts: () => true },
+        breaks: "no change overwrites one that it was not made from",
+    },
+    {
+        name: "removal that does not touch what is below",
+        rules: { ...settingsRules, removalTouchesBelow: false },
+        breaks: "no change overwrites one that it was not made from",
+    },
+    {
+        name: "snapshot without its upToOffset",
+        rules: { ...settingsRules, startsAfter: snapshotOffset => snapshotOffset },
+        breaks: "all readers of a prefix agree",
+    },
+    {
+        name: "relay that takes over a lower offset",
+        rules: { ...settingsRules, takesOver: (own, other) => other.offset !== own.offset },
+        breaks: "no reader goes back",
+    },
+];
+
+export type SettingsExploration = { states: number; broken: SettingsInvariant[]; };
+
+/** Explores every state within `size`, going no further from one that breaks an invariant. */
+export const exploreSettings = (rules: SettingsRules, size: SettingsSpecSize): SettingsExploration => {
+    const initial: SettingsSpecState = {
+        log: [],
+        first: 0,
+        readers: Array.from({ length: size.readers }, () => emptySpecReader(size.paths)),
+        changesLeft: size.changes,
+        copiesLeft: size.copies,
+        snapshotsLeft: size.snapshots,
+        restartsLeft: size.restarts,
+        wentBack: false,
+    };
+    const names = Object.keys(invariants) as SettingsInvariant[];
+    const broken = new Set<SettingsInvariant>();
+    const breaks = (state: SettingsSpecState): boolean => {
+        const found = names.filter(name => !invariants[name](state, rules));
+        found.forEach(name => broken.add(name));
+        return found.length > 0;
+    };
+    const logic = fromTransition(
+        (state: SettingsSpecState, event: SettingsSpecEvent) => handle(rules, state, event),
+        initial,
+    );
+    const map = getAdjacencyMap(logic, {
+        events: ({ context }) => broken.size > 0 ? [] : enabledEvents(rules, context),
+        serializeState: ({ context }) => JSON.stringify(context),
+        serializeEvent: event => JSON.stringify(event),
+        stopWhen: ({ context }) => breaks(context),
+    });
+    return { states: Object.keys(map).length, broken: [...broken] };
+};
