--- /dev/null
+++ b/tests/support/accountZone.ts
@@ -0,0 +1,96 @@
+/**
+ * The entries of one availability zone with one limited account, in memory and on a virtual clock.
+ */
+import { createAccountLimits } from "../../src/coordination/accountLimits.js";
+import { type AccountShares, createAccountShares } from "../../src/coordination/accountShares.js";
+import { virtualClock } from "./virtualClock.js";
+
+export type AccountZone = {
+    limit: number;
+    /** Entries that can't exchange records with any other. */
+    cutOff: Set<number>;
+    /**
+     * Asks for `rates[entry]` requests a second at each entry for `seconds` and gives the requests granted in each tenth
+     * of a second.
+     */
+    run: (rates: number[], seconds: number) => number[];
+    /** Shares of the limit that the entries hold now. */
+    shares: () => number[];
+    restart: (entry: number) => void;
+};
+
+const ticksPerSecond = 10;
+
+/** `passes` decides whether a record from one entry to another gets through in this second. */
+export const createAccountZone = (
+    entries: number,
+    limit: number,
+    passes: (from: number, to: number) => boolean = () => true,
+): AccountZone => {
+    const clock = virtualClock(1_000);
+    const hosts = [...Array(entries).keys()].map(entry => `entry-${entry}`);
+    const start = (host: string) => {
+        const limitOf = (name: string) => name === "requests/portal" ? limit : undefined;
+        const shares = createAccountShares({ clock, host, members: () => hosts, limitOf });
+        return { shares, limits: createAccountLimits(clock, shares) };
+    };
+    const running = hosts.map(start);
+    const owed = hosts.map(() => 0);
+    const cutOff = new Set<number>();
+    let tick = 0;
+
+    const exchange = (from: AccountShares, to: AccountShares) => from.records().forEach(to.observe);
+
+    const everySecond = () =>
+        running.forEach(({ shares }, entry) => {
+            shares.update();
+            running.forEach((other, position) => {
+                if (position !== entry && !cutOff.has(entry) && !cutOff.has(position) && passes(entry, position)) {
+                    exchange(shares, other.shares);
+                    exchange(other.shares, shares);
+                }
+            });
+        });
+
+    const askAll = (rates: number[]): number =>
+        rates.reduce((granted, rate, entry) => {
+            owed[entry]! += rate / ticksPerSecond;
+            let count = 0;
+            for (; owed[entry]! >= 1; owed[entry]! -= 1) {
+                count += running[entry]!.limits.admit("portal", 1).isOk() ? 1 : 0;
+            }
+            return granted + count;
+        }, 0);
+
+    return {
+        limit,
+        cutOff,
+        run: (rates, seconds) =>
+            [...Array(seconds * ticksPerSecond).keys()].map(() => {
+                clock.advance(1_000 / ticksPerSecond);
+                tick += 1;
+                if (tick % ticksPerSecond === 0) {
+                    everySecond();
+                }
+                return askAll(rates);
+            }),
+        shares: () => running.map(({ shares }) => shares.share("requests/portal") ?? 0),
+        restart: entry => {
+            running[entry] = start(hosts[entry]!);
+        },
+    };
+};
+
+/** Largest number granted in any ten seconds of `granted`, as a part of ten seconds' limit. */
+export const worstTenSeconds = (granted: number[], limit: number): number => {
+    const window = 10 * ticksPerSecond;
+    let sum = 0;
+    let worst = 0;
+    granted.forEach((count, position) => {
+        sum += count - (granted[position - window] ?? 0);
+        worst = Math.max(worst, sum);
+    });
+    return worst / (10 * limit);
+};
+
+export const totalOf = (granted: number[]): number => granted.reduce((sum, count) => sum + count, 0);
