--- a/src/coordination/claimKeeper.ts
+++ b/src/coordination/claimKeeper.ts
@@ -79,6 +79,8 @@
      */
     claim: (request: ClaimRequest, signal: AbortSignal) => Promise<Result<Claimed, Refusal>>;
     state: () => ClaimKeeperState;
+    /** Resolves when all results and releases are on the log, or after `milliseconds`. */
+    drained: (milliseconds: number, signal: AbortSignal) => Promise<void>;
     /** Appends and reads until `signal` aborts. */
     run: (signal: AbortSignal) => Promise<void>;
 };
@@ -193,18 +195,11 @@
     const settleClaim = (key: string, id: string): void => {
         const state = fold.keys.get(key);
         const attempt = openAttempts.get(id);
-        const isHolding = state?.holder?.attempt === id;
-        if (attempt === undefined) {
-            // A claim of an attempt that was given up has turned up late.
-            if (isHolding && state.result === undefined) {
-                appendRelease(key, id);
-            }
-            return;
-        }
-        if (attempt.phase !== "claiming") {
+        // The release of an attempt that was given up is on its way, so a late claim of it needs nothing more.
+        if (attempt?.phase !== "claiming") {
             return;
         }
-        if (!isHolding) {
+        if (state?.holder?.attempt !== id) {
             giveUp(attempt, state?.holder === undefined ? "invalid" : "beaten");
             return;
         }
@@ -379,5 +374,5 @@
         waitingEntries: commit.waiting(),
     });
 
-    return { claim, state, run };
+    return { claim, state, drained: commit.drained, run };
 };
