--- /dev/null
+++ b/src/protocol/quarantineRecords.ts
@@ -0,0 +1,26 @@
+/**
+ * Records of the `quarantine` stream, and the crash reports of the relay.
+ */
+import { z } from "zod";
+import type { CrashReport, QuarantineBatch } from "../state/quarantineFold.js";
+import { decodeValue } from "./decoding.js";
+
+export const quarantineStreamName = "quarantine";
+
+const report = z.object({ id: z.string(), digests: z.array(z.string()), isTrial: z.boolean() });
+
+const entry = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("crash"), report }),
+    z.object({ kind: z.literal("trial"), digest: z.string(), trial: z.string() }),
+    z.object({ kind: z.literal("withdraw"), digest: z.string(), trial: z.string() }),
+    z.object({ kind: z.literal("clear"), digest: z.string(), by: z.string() }),
+]);
+
+const batch = z.object({ agent: z.string(), entries: z.array(entry) });
+
+/** Decodes a record; one that no agent or operator can have written states nothing. */
+export const decodeQuarantineBatch = (body: unknown): QuarantineBatch =>
+    decodeValue(batch, body).unwrapOr({ agent: "", entries: [] });
+
+/** Decodes the crash reports of a peer; without any if they are malformed. */
+export const decodeCrashReports = (update: unknown): CrashReport[] => decodeValue(z.array(report), update).unwrapOr([]);
