--- a/src/coordination/completionTask.ts
+++ b/src/coordination/completionTask.ts
@@ -8,7 +8,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Refusal, refusal } from "../state/errors.js";
 import type { Clock } from "../state/types.js";
-import type { AttemptClient, AttemptFailure, ModelEnd, ModelWork } from "./attempts.js";
+import type { AttemptClient, AttemptFailure, ModelAttempt, ModelEnd, ModelWork } from "./attempts.js";
 import { trackOutcome } from "./requestOutcome.js";
 import { createRetryPolicy, shouldAvoid } from "./retryPolicy.js";
 import type { UpstreamChooser } from "./upstreamChooser.js";
@@ -51,6 +51,7 @@
     const retries = createRetryPolicy(limits.maximumRetries, tools.takeRetry);
     const avoided = new Set<string>();
     let received = 0;
+    let alone = false;
     const interrupted = (): Refusal => outcome.conclude(work.model, refusal("interrupted", [work.model]));
 
     for (;;) {
@@ -68,7 +69,13 @@
         const { upstream, progress, finish } = choice.value;
         const resumeFrom = received;
         const timeoutMilliseconds = limits.deadline - tools.clock.now();
-        const attempt = { ...work, attempt: tools.newId(), resumeFrom, timeoutMilliseconds };
+        const attempt: ModelAttempt = {
+            ...work,
+            attempt: tools.newId(),
+            resumeFrom,
+            timeoutMilliseconds,
+            ...(alone ? { alone } : {}),
+        };
         const takeToken = (index: number, text: string): void => {
             // A repeated or early index is not the next token of this answer.
             if (index === received && !signal.aborted) {
@@ -77,9 +84,10 @@
                 onToken(text);
             }
         };
-        const ended = (await tools.attempts.runModel(upstream, attempt, takeToken, signal)).andThen(end =>
-            checkWhole(end, received)
-        );
+        const ended: Result<ModelEnd, AttemptFailure> =
+            (await tools.attempts.runModel(upstream, attempt, takeToken, signal)).andThen(end =>
+                checkWhole(end, received)
+            );
         tools.onAttempt(describeAttempt(work, attempt.attempt, upstream.host, ended));
         if (ended.isOk()) {
             finish({ load: ended.value.load });
@@ -92,6 +100,8 @@
             return err(interrupted());
         }
         finish({ failure: ended.error });
+        // The request may be what crashed the upstream, so it is not run beside others again.
+        alone ||= ended.error.kind === "crashed";
         if (shouldAvoid(ended.error)) {
             avoided.add(upstream.host);
         }
--- a/src/programs/cyclamengap.ts
+++ b/src/programs/cyclamengap.ts
@@ -7,12 +7,16 @@
  */
 import { defineCommand, runMain } from "citty";
 import { dump, log } from "./commands/inspect.js";
+import { quarantine } from "./commands/quarantine.js";
 import { settings } from "./commands/settings.js";
 import { zone } from "./commands/zone.js";
 
 const main = defineCommand({
-    meta: { name: "cyclamengap", description: "settings, availability zones and the state of a deployment" },
-    subCommands: { settings, zone, dump, log },
+    meta: {
+        name: "cyclamengap",
+        description: "settings, availability zones, quarantine and the state of a deployment",
+    },
+    subCommands: { settings, zone, quarantine, dump, log },
 });
 
 await runMain(main);
--- a/src/transport/agentDaemon.ts
+++ b/src/transport/agentDaemon.ts
@@ -5,8 +5,11 @@
 import { randomUUID } from "node:crypto";
 import { type AdmissionGate, createAdmissionGate, type GateSettings } from "../coordination/admissionGate.js";
 import { type ClaimKeeper, createClaimKeeper } from "../coordination/claimKeeper.js";
+import { createCrashGuard } from "../coordination/crashGuard.js";
 import { decodedStream } from "../coordination/decodedStream.js";
 import { startEngineWatch } from "../coordination/engineWatch.js";
+import type { ModelAttemptTools } from "../coordination/modelAttemptTask.js";
+import type { QuarantineKeeper } from "../coordination/quarantineKeeper.js";
 import { createServiceGuard } from "../coordination/runAtMostOnce.js";
 import { heartbeatIntervalMilliseconds, loadRoute } from "../protocol/attemptProtocol.js";
 import { claimStreamName, decodeClaimBatch } from "../protocol/claimRecords.js";
@@ -21,6 +24,7 @@
 import { listen, type NodeBindings } from "./httpServer.js";
 import { createLogClient } from "./logClient.js";
 import type { Logger } from "./logger.js";
+import { startQuarantineKeeper } from "./quarantineStream.js";
 import { createServiceClient } from "./serviceClient.js";
 import { systemClock } from "./systemClock.js";
 
@@ -77,20 +81,28 @@
     config: AgentConfig,
     gate: AdmissionGate,
     keeper: ClaimKeeper | undefined,
+    quarantine: QuarantineKeeper,
     signal: AbortSignal,
 ): void => {
     application.get(loadRoute, context => context.json(gate.load()));
     if (config.upstream.kind === "group") {
         const engine = createEngineClient(config.upstream.address);
         const watch = startEngineWatch({ engine, gate, clock: systemClock }, signal);
-        addModelRoute(application, {
+        const crashGuard = createCrashGuard({
+            host: config.host,
+            clock: systemClock,
+            keeper: quarantine,
+            heartbeatMilliseconds: heartbeatIntervalMilliseconds,
+        });
+        const tools: ModelAttemptTools = {
             host: config.host,
             gate,
             engine,
             clock: systemClock,
             heartbeatMilliseconds: heartbeatIntervalMilliseconds,
             checkEngine: watch.check,
-        });
+        };
+        addModelRoute(application, tools, crashGuard);
         return;
     }
     invariant(keeper !== undefined, `agent of service "${config.upstream.service}" has no claim keeper`);
@@ -117,12 +129,15 @@
     application.use("/attempts/*", requireToken(tokens.peerToken));
     application.use(loadRoute, requireToken(tokens.peerToken));
     const keeper = startClaimKeeper(config, stopping.signal);
-    addAttemptRoutes(application, config, gate, keeper, stopping.signal);
+    const quarantine = startQuarantineKeeper(config, stopping.signal);
+    core.addTopic(quarantine.topic);
+    addAttemptRoutes(application, config, gate, keeper, quarantine, stopping.signal);
     const describe = () => ({
         role: "agent",
         upstream: config.upstream,
         load: gate.load(),
         claims: keeper?.state(),
+        quarantine: quarantine.suspects(),
     });
     core.addRoutes(application, describe);
     const listener = await listen(application, config.listen);
--- a/src/transport/attemptServer.ts
+++ b/src/transport/attemptServer.ts
@@ -6,6 +6,7 @@
 import type { ContentfulStatusCode } from "hono/utils/http-status";
 import type { ServerResponse } from "node:http";
 import type { ModelEnd, ServiceAttempt } from "../coordination/attempts.js";
+import type { CrashGuard, ServeAttempt } from "../coordination/crashGuard.js";
 import {
     type AnswerWriter,
     type ModelAttemptTools,
@@ -71,7 +72,11 @@
 };
 
 /** Adds the route for completions. */
-export const addModelRoute = (application: Hono<NodeBindings>, tools: ModelAttemptTools): void => {
+export const addModelRoute = (
+    application: Hono<NodeBindings>,
+    tools: ModelAttemptTools,
+    crashGuard: CrashGuard,
+): void => {
     application.post("/attempts/model", async context => {
         const checked = modelAttemptSchema.safeParse(await context.req.json().catch(() => undefined));
         if (!checked.success) {
@@ -80,8 +85,13 @@
         const response = context.env.outgoing;
         const attempt = checked.data;
         const writer = createWriter(response, attempt.attempt);
-        const served = await serveModelAttempt(tools, attempt, writer, peerGoneSignal(response));
+        const serve: ServeAttempt = signal => serveModelAttempt(tools, attempt, writer, signal);
+        const served = await crashGuard.run(attempt, writer, serve, peerGoneSignal(response));
         if (served.isErr()) {
+            if (writer.isOpen()) {
+                response.end(closingLine({ type: "cut", attempt: attempt.attempt, reason: served.error.message }));
+                return RESPONSE_ALREADY_SENT;
+            }
             return refuse(context, served.error, tools.gate.load());
         }
         if (!writer.isOpen()) {
--- a/src/transport/entryDaemon.ts
+++ b/src/transport/entryDaemon.ts
@@ -19,6 +19,7 @@
 import { listen, type NodeBindings } from "./httpServer.js";
 import { createLoadProbe } from "./loadProbe.js";
 import type { Logger } from "./logger.js";
+import { startQuarantineKeeper } from "./quarantineStream.js";
 import { systemClock } from "./systemClock.js";
 
 export type EntryDaemon = {
@@ -66,6 +67,8 @@
     const stopping = new AbortController();
     const core = startDaemonCore(config, tokens, stopping.signal);
     const { settings, hostList, metrics } = core;
+    // An entry runs nothing itself, but it carries crash reports from agent to agent.
+    core.addTopic(startQuarantineKeeper(config, stopping.signal).topic);
     const directory = createUpstreamDirectory({
         clock: systemClock,
         host: config.host,
