Switch expert maps by promises among the agents of a group

Each rank promises a commit once in a formation, and the largest promised step is where all switch. The engine stand-in holds the promises and records the map of every step; the tests run the real modules on a virtual clock and judge them by that record.

--- a/src/programs/standin.ts
+++ b/src/programs/standin.ts
@@ -61,6 +61,8 @@
         "restart-milliseconds": { type: "string", default: "200" },
         "checks-fence": { type: "boolean", default: false },
         "starts-warm": { type: "boolean", default: false },
+        "expert-maps": { type: "boolean", default: false, description: "ranks switch expert maps by promises" },
+        "map-load-milliseconds": { type: "string", default: "0" },
     },
     run: async ({ args }) => {
         const { addresses } = await startEngine({
@@ -74,6 +76,8 @@
             restartMilliseconds: Number(args["restart-milliseconds"]),
             checksFence: args["checks-fence"],
             startsWarm: args["starts-warm"],
+            expertMaps: args["expert-maps"],
+            mapLoadMilliseconds: Number(args["map-load-milliseconds"]),
             engineId: newId(),
             clock,
             signal: stopSignal(),
--- a/src/standin/engineRoutes.ts
+++ b/src/standin/engineRoutes.ts
@@ -12,7 +12,7 @@
 
 /** Adds the routes of `seat` to `app`. */
 export const addEngineRoutes = (app: StandinApp, group: EngineGroup, seat: RankSeat, clock: Clock): void => {
-    const { rank, cache, loads, orders } = seat;
+    const { rank, cache, loads, orders, map } = seat;
     app.use(async (context, next) => {
         if (rank.down) {
             return cutConnection(context.env);
@@ -44,6 +44,7 @@
         return context.json({ cancelled: rank.cancel(requestId) });
     });
     app.get("/load", context => context.json(loads.at(clock.now() - rank.faults.loadLagMilliseconds) ?? {}));
+    app.get("/expert-map", context => context.json(map.status(orders.highestFence())));
     app.post("/orders", async context => {
         const answer = await orders.execute(await context.req.json<OrderRequest>());
         return context.json(answer.body, answer.status);
@@ -57,6 +58,7 @@
         return context.json({
             step: group.step,
             formation: group.formation,
+            heldMilliseconds: group.heldMilliseconds,
             steps: group.steps.filter(record => record.step >= from),
             ranks: group.seats.map(recordOf),
         });
--- a/src/standin/modelEngine.ts
+++ b/src/standin/modelEngine.ts
@@ -10,7 +10,9 @@
 import { addEngineRoutes } from "./engineRoutes.js";
 import { newApp, type RunningServer, serveApp, splitAddress } from "./httpServer.js";
 import { LoadHistory } from "./loadHistory.js";
+import { mapOrderHandlers } from "./mapOrders.js";
 import { newOrderDesk, type OrderDesk, type OrderHandler } from "./orders.js";
+import { RankMap } from "./rankMap.js";
 
 export type EngineOptions = RankSettings & {
     /** Address of rank 0; with a port other than 0, rank r listens r ports above. */
@@ -22,6 +24,10 @@
     checksFence: boolean;
     /** Starts the engine warm, for runs that are not about cold starts. */
     startsWarm: boolean;
+    /** Whether the ranks switch expert maps by promises; without, all steps run on map 0. */
+    expertMaps?: boolean;
+    /** How long a rank takes to load the weights of a planned map. */
+    mapLoadMilliseconds?: number;
     /** Name in incarnations; a new process gives itself a new one. */
     engineId: string;
     clock: Clock;
@@ -32,24 +38,27 @@
 export type StepRecord = { step: number; rank: number; map: number; formation: number; };
 
 /** A rank with all that its routes reach. */
-export type RankSeat = { rank: EngineRank; cache: PrefixCache; loads: LoadHistory; orders: OrderDesk; };
+export type RankSeat = { rank: EngineRank; cache: PrefixCache; loads: LoadHistory; orders: OrderDesk; map: RankMap; };
 
+const holdPollMilliseconds = 1;
 const keptStepRecords = 20_000;
 
 /** The group: its seats, the step counter and the record of executed steps. */
 export class EngineGroup {
     readonly seats: RankSeat[];
     /** Grows whenever a rank joins the group anew. */
-    formation = 1;
+    formation: number;
     /** Steps executed so far. */
     step = 0;
-    /** Number of the expert map in use. */
-    map = 0;
+    /** Time for which steps waited for promises. */
+    heldMilliseconds = 0;
     steps: StepRecord[] = [];
     private readonly options: EngineOptions;
 
     constructor(options: EngineOptions) {
         this.options = options;
+        // Formation numbers must not repeat, also when the whole group starts anew.
+        this.formation = options.expertMaps === true ? Math.max(1, Math.floor(options.clock.now())) : 1;
         this.seats = [...Array(options.ranks).keys()].map(rank => this.newSeat(rank));
     }
 
@@ -58,7 +67,7 @@
         const { clock, signal } = this.options;
         let startedAt = clock.now();
         while (!signal.aborted) {
-            await this.waitForCrashedRanks();
+            await this.waitUntilReady();
             const length = this.takeStepLength();
             const endsAt = startedAt + length;
             await clock.sleep(Math.max(0, endsAt - clock.now()), signal);
@@ -71,14 +80,30 @@
         const { engineId, clock, signal, checksFence, startsWarm } = this.options;
         const rank = new EngineRank(number, engineId, this.options, clock, signal);
         rank.cold = !startsWarm;
+        const map = new RankMap(number, this.formation);
+        const load = (): Promise<void> => clock.sleep(this.options.mapLoadMilliseconds ?? 0, signal);
         return {
             rank,
             cache: new PrefixCache(clock),
             loads: new LoadHistory(),
-            orders: newOrderDesk(checksFence, orderHandlers),
+            orders: newOrderDesk(checksFence, { ...orderHandlers, ...mapOrderHandlers(map, load) }),
+            map,
         };
     }
 
+    /** Waits until no rank is down and every rank may run the coming step. */
+    private async waitUntilReady(): Promise<void> {
+        const { clock, signal, expertMaps } = this.options;
+        const startedAt = clock.now();
+        await this.waitForCrashedRanks();
+        const mayRun = (seat: RankSeat): boolean => !seat.rank.down && seat.map.commitFor(this.step + 1) !== undefined;
+        while (expertMaps === true && !this.seats.every(mayRun) && !signal.aborted) {
+            await clock.sleep(holdPollMilliseconds, signal);
+            await this.waitForCrashedRanks();
+        }
+        this.heldMilliseconds += clock.now() - startedAt;
+    }
+
     private async waitForCrashedRanks(): Promise<void> {
         const { clock, signal } = this.options;
         for (const { rank, cache } of this.seats) {
@@ -89,6 +114,7 @@
             rank.downUntil = 0;
             cache.clear();
             this.formation += 1;
+            this.seats.forEach(seat => seat.map.join(this.formation, this.step + 1, seat.rank === rank));
         }
     }
 
@@ -103,7 +129,9 @@
         for (const seat of this.seats) {
             const tokens = seat.rank.running.length;
             seat.rank.finishStep();
-            this.steps.push({ step: this.step, rank: seat.rank.rank, map: this.map, formation: this.formation });
+            const map = seat.map.commitFor(this.step) ?? 0;
+            seat.map.finishStep(this.step);
+            this.steps.push({ step: this.step, rank: seat.rank.rank, map, formation: this.formation });
             this.sampleLoad(seat, length, tokens);
         }
         if (this.steps.length > 2 * keptStepRecords) {
--- a/src/standin/orders.ts
+++ b/src/standin/orders.ts
@@ -14,6 +14,8 @@
     execute: (request: OrderRequest) => Promise<OrderAnswer>;
     /** Orders executed so far, oldest first. */
     executed: OrderRequest[];
+    /** The highest fencing number seen, -1 for none. */
+    highestFence: () => number;
 };
 
 /** Takes orders for the kinds in `handlers`; refuses a fencing number below an earlier one if `checksFence`. */
@@ -32,5 +34,5 @@
         executed.push(request);
         return { status: 200, body: await handler(request.order) };
     };
-    return { execute, executed };
+    return { execute, executed, highestFence: () => highestFence };
 };
--- /dev/null
+++ b/src/state/groupFold.ts
@@ -0,0 +1,70 @@
+/**
+ * What a group's log stream amounts to: its coordinator with the fencing number, and its newest map commit.
+ *
+ * A commit counts only if it carries the fencing number of the last coordinator claim before it in the stream, so a
+ * coordinator that was paused and replaced commits nothing. A snapshot repeats the state for readers that come after
+ * retention has dropped older records; readers that are further on ignore it.
+ */
+import type { ExpertMap } from "./expertMap.js";
+import type { MapCommit } from "./mapPromise.js";
+import type { LogRecord } from "./types.js";
+
+/** An agent's claim to coordinate the group; the offset of the record is its fencing number. */
+export type CoordinateRecord = { kind: "coordinate"; rank: number; incarnation: string; };
+
+export type CommitRecord = { kind: "commit"; fence: number; plan: string; map: ExpertMap; };
+
+export type GroupSnapshot = { kind: "snapshot"; state: GroupState; };
+
+export type GroupRecord = CoordinateRecord | CommitRecord | GroupSnapshot;
+
+export type Coordinator = { rank: number; incarnation: string; fence: number; };
+
+export type GroupState = {
+    /** Offset of the last record that is included, -1 for none. */
+    offset: number;
+    coordinator?: Coordinator;
+    commit?: MapCommit;
+};
+
+export const emptyGroup: GroupState = { offset: -1 };
+
+const newer = <Name extends string, Entry>(
+    left: Entry | undefined,
+    right: Entry | undefined,
+    order: (entry: Entry) => number,
+    name: Name,
+): { [Key in Name]?: Entry; } => {
+    const known = [left, right].filter(entry => entry !== undefined);
+    const newest = known.sort((first, second) => order(second) - order(first))[0];
+    return (newest === undefined ? {} : { [name]: newest }) as { [Key in Name]?: Entry; };
+};
+
+type FoldStep<Body> = (state: GroupState, body: Body, offset: number) => GroupState;
+
+const foldSteps: { [Kind in GroupRecord["kind"]]: FoldStep<Extract<GroupRecord, { kind: Kind; }>>; } = {
+    coordinate: (state, { rank, incarnation }, offset) => ({
+        ...state,
+        offset,
+        coordinator: { rank, incarnation, fence: offset },
+    }),
+    commit: (state, { fence, plan, map }, offset) =>
+        state.coordinator?.fence === fence
+            ? { ...state, offset, commit: { commit: offset, plan, map } }
+            : { ...state, offset },
+    // Takes the newer of each part, so that a snapshot that raced with other records takes nothing back.
+    snapshot: (state, { state: { coordinator, commit } }, offset) => ({
+        offset,
+        ...newer(state.coordinator, coordinator, entry => entry.fence, "coordinator"),
+        ...newer(state.commit, commit, entry => entry.commit, "commit"),
+    }),
+};
+
+/** Includes one record; records that are already included change nothing. */
+export const foldGroupRecord = (state: GroupState, record: LogRecord<GroupRecord>): GroupState => {
+    if (record.offset <= state.offset) {
+        return state;
+    }
+    const step = foldSteps[record.body.kind] as FoldStep<GroupRecord>;
+    return step(state, record.body, record.offset);
+};
--- /dev/null
+++ b/tests/mapSwitch.test.ts
@@ -0,0 +1,141 @@
+/**
+ * The map switch with the real modules: whatever happens to ranks, agents, messages and the log, no step runs on two
+ * maps, and once the faults end the whole group comes to the newest map.
+ */
+import { expect } from "chai";
+import fc from "fast-check";
+import { advanceUntil } from "./support/advance.js";
+import { type MapFleet, mixedSteps, shape, startMapFleet } from "./support/mapFleet.js";
+
+const newestEverywhere = (fleet: MapFleet, atLeast: number): boolean => {
+    const released = fleet.group.seats.map(seat => seat.map.status(-1).released);
+    const commits = fleet.log.records.filter(({ body }) => body.kind === "commit");
+    return released.every(commit => commit >= atLeast && commit === released[0]) && commits.length > 0;
+};
+
+const commitsOf = (fleet: MapFleet): number[] =>
+    fleet.log.records.filter(({ body }) => body.kind === "commit").map(({ offset }) => offset);
+
+describe("map switch", () => {
+    it("brings a healthy group from map to map without holding a step", async () => {
+        const fleet = startMapFleet(1);
+        await advanceUntil(fleet.clock, () => newestEverywhere(fleet, 0));
+        const held = fleet.group.heldMilliseconds;
+        await advanceUntil(fleet.clock, () => commitsOf(fleet).length >= 4);
+        await fleet.clock.run(1_000);
+        expect(mixedSteps(fleet.group.steps)).to.deep.equal([]);
+        expect(new Set(fleet.group.steps.map(({ map }) => map)).size).to.be.least(4);
+        expect(fleet.group.heldMilliseconds - held).to.equal(0);
+        fleet.stop();
+    });
+
+    it("finishes a commit while the log is out, also with agents that have not read it", async () => {
+        const fleet = startMapFleet(2);
+        await advanceUntil(fleet.clock, () => commitsOf(fleet).length === 2);
+        fleet.log.readable = false;
+        fleet.log.fate = () => "turned-away";
+        fleet.restartAgent(0);
+        fleet.restartAgent(1);
+        const [, second] = commitsOf(fleet) as [number, number];
+        await advanceUntil(fleet.clock, () => newestEverywhere(fleet, second));
+        fleet.crashRank(1);
+        const { step } = fleet.group;
+        await advanceUntil(fleet.clock, () => fleet.group.step > step + 20 && newestEverywhere(fleet, second));
+        expect(mixedSteps(fleet.group.steps)).to.deep.equal([]);
+        fleet.stop();
+    });
+
+    it("replaces a coordinator that is paused, whose late commit then counts for nothing", async () => {
+        const fleet = startMapFleet(3);
+        await advanceUntil(fleet.clock, () => commitsOf(fleet).length === 1);
+        const prepared = (): number =>
+            fleet.group.seats[0]!.orders.executed.filter(({ order }) => order.kind === "prepare-map").length;
+        const before = prepared();
+        await advanceUntil(fleet.clock, () => prepared() > before);
+        fleet.agents[0]!.pausedUntil = fleet.clock.now() + 15_000;
+        await fleet.clock.run(40_000);
+        const claims = fleet.log.records.filter(({ body }) => body.kind === "coordinate").map(({ offset }) => offset);
+        const late = fleet.log.records.filter(({ offset, body }) =>
+            body.kind === "commit" && body.fence < Math.max(...claims.filter(claim => claim < offset))
+        );
+        expect(claims).to.have.length.least(2);
+        expect(late).to.have.length(1);
+        expect(fleet.group.steps.some(({ map }) => map === late[0]!.offset)).to.equal(false);
+        expect(mixedSteps(fleet.group.steps)).to.deep.equal([]);
+        expect(newestEverywhere(fleet, claims[1]!)).to.equal(true);
+        fleet.stop();
+    });
+
+    const event = fc.record({
+        at: fc.integer({ min: 500, max: 9_000 }),
+        rank: fc.integer({ min: 0, max: shape.ranks - 1 }),
+        kind: fc.constantFrom("crash-rank", "restart-agent", "pause-agent", "cut-off", "log-out"),
+        milliseconds: fc.integer({ min: 50, max: 3_000 }),
+    });
+
+    type Happening = { at: number; rank: number; kind: string; milliseconds: number; };
+
+    const happenings: Record<string, (fleet: MapFleet, happening: Happening) => () => void> = {
+        "crash-rank": (fleet, { rank }) => {
+            fleet.crashRank(rank);
+            return () => undefined;
+        },
+        "restart-agent": (fleet, { rank }) => {
+            fleet.restartAgent(rank);
+            return () => undefined;
+        },
+        "pause-agent": (fleet, { rank, milliseconds }) => {
+            fleet.agents[rank]!.pausedUntil = fleet.clock.now() + milliseconds;
+            return () => undefined;
+        },
+        "cut-off": (fleet, { rank }) => {
+            fleet.faults.cutOff.add(rank);
+            return () => fleet.faults.cutOff.delete(rank);
+        },
+        "log-out": fleet => {
+            fleet.log.readable = false;
+            fleet.log.fate = () => "answer-lost";
+            return () => {
+                fleet.log.readable = true;
+                fleet.log.fate = () => "taken";
+            };
+        },
+    };
+
+    it("keeps every step on one map under crashes, restarts, pauses, partitions and lost messages", async () => {
+        let steps = 0;
+        let maps = 0;
+        await fc.assert(
+            fc.asyncProperty(fc.integer(), fc.array(event, { maxLength: 8 }), async (seed, events) => {
+                const fleet = startMapFleet(seed, 700);
+                fleet.faults.lossRate = 0.1;
+                fleet.faults.delayMilliseconds = 8;
+                const due = events.flatMap(happening => {
+                    const state: { undo: () => void; } = { undo: () => undefined };
+                    const start = (): void => {
+                        state.undo = happenings[happening.kind]!(fleet, happening);
+                    };
+                    const end = (): void => state.undo();
+                    return [{ at: happening.at, run: start }, { at: happening.at + happening.milliseconds, run: end }];
+                }).sort((left, right) => left.at - right.at);
+                const startedAt = fleet.clock.now();
+                for (const { at, run } of due) {
+                    await fleet.clock.run(startedAt + at - fleet.clock.now());
+                    run();
+                }
+                await fleet.clock.run(Math.max(0, startedAt + 12_000 - fleet.clock.now()));
+                fleet.faults.lossRate = 0;
+                const newest = commitsOf(fleet).at(-1) ?? 0;
+                const { step } = fleet.group;
+                await advanceUntil(fleet.clock, () => newestEverywhere(fleet, newest) && fleet.group.step > step + 20);
+                expect(mixedSteps(fleet.group.steps)).to.deep.equal([]);
+                steps += fleet.group.steps.length;
+                maps += new Set(fleet.group.steps.map(({ map }) => map)).size;
+                fleet.stop();
+            }),
+            { seed: 11, numRuns: 40 },
+        );
+        expect(steps).to.be.above(10_000);
+        expect(maps).to.be.above(120);
+    }).timeout(60_000);
+});
--- /dev/null
+++ b/tests/support/mapFleet.ts
@@ -0,0 +1,219 @@
+/**
+ * A group of ranks with its agents on a virtual clock: the real modules over a stand-in engine, with a faulty log and
+ * faulty messages between them.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { setMaxListeners } from "node:events";
+import { startGroupLog } from "../../src/coordination/groupLog.js";
+import { runMapCoordinator } from "../../src/coordination/mapCoordinator.js";
+import type {
+    EngineOrderFailure,
+    PeerFailure,
+    RankEngine,
+    RankNews,
+    RankPeers,
+} from "../../src/coordination/mapParts.js";
+import { type MapSwitch, startMapSwitch } from "../../src/coordination/mapSwitch.js";
+import { EngineGroup, type StepRecord } from "../../src/standin/modelEngine.js";
+import { uniformMap } from "../../src/state/expertMap.js";
+import type { GroupRecord } from "../../src/state/groupFold.js";
+import type { RankMapStatus } from "../../src/state/mapPromise.js";
+import type { Clock, RandomNumber } from "../../src/state/types.js";
+import { type FaultyLog, faultyLog } from "./faultyLog.js";
+import { seededRandom } from "./seededRandom.js";
+import { type SteppedClock, steppedClock } from "./steppedClock.js";
+
+export const shape = { ranks: 3, layers: 1, experts: 6, slotsPerRank: 2 };
+
+type Agent = { mapSwitch: MapSwitch; stop: AbortController; pausedUntil: number; };
+
+export type MapFleet = {
+    clock: SteppedClock;
+    group: EngineGroup;
+    log: FaultyLog<GroupRecord>;
+    agents: Agent[];
+    /** Part of the messages between agents, and to engines, that are lost; half of them after they took effect. */
+    faults: { lossRate: number; delayMilliseconds: number; cutOff: Set<number>; };
+    restartAgent: (rank: number) => void;
+    crashRank: (rank: number) => void;
+    stop: () => void;
+};
+
+/** Steps in which two ranks of one formation ran different maps. */
+export const mixedSteps = (steps: StepRecord[]): string[] => {
+    const maps = new Map<string, Set<number>>();
+    for (const { step, formation, map } of steps) {
+        const key = `formation ${formation} step ${step}`;
+        maps.set(key, (maps.get(key) ?? new Set()).add(map));
+    }
+    return [...maps].filter(([, used]) => used.size > 1).map(([key]) => key);
+};
+
+export const startMapFleet = (seed: number, planEveryMilliseconds = 1_500): MapFleet => {
+    const clock = steppedClock(1_000);
+    const random: RandomNumber = seededRandom(seed);
+    const stopAll = new AbortController();
+    setMaxListeners(0, stopAll.signal);
+    const faults: MapFleet["faults"] = { lossRate: 0, delayMilliseconds: 2, cutOff: new Set() };
+    const log = faultyLog<GroupRecord>(clock, stopAll.signal, "groups/council");
+    let names = 0;
+    const group = new EngineGroup({
+        listen: "127.0.0.1:0",
+        ranks: shape.ranks,
+        stepMilliseconds: 20,
+        capacity: 8,
+        coldCapacity: 8,
+        warmAfterTokens: 1,
+        coldGraceSteps: 1,
+        restartMilliseconds: 150,
+        checksFence: false,
+        startsWarm: true,
+        expertMaps: true,
+        mapLoadMilliseconds: 60,
+        engineId: "engine",
+        clock,
+        signal: stopAll.signal,
+    });
+    void group.run();
+
+    /** Runs `action` over a connection that delays, loses, and sometimes repeats what it carries. */
+    const carry = async <Value, Failure>(
+        own: Clock,
+        signal: AbortSignal,
+        lost: Failure,
+        action: () => Promise<Result<Value, Failure>> | Result<Value, Failure>,
+    ): Promise<Result<Value, Failure>> => {
+        const isLost = (): boolean => random() < faults.lossRate / 2;
+        await own.sleep(random() * faults.delayMilliseconds, signal);
+        if (isLost()) {
+            await own.sleep(50, signal);
+            return err(lost);
+        }
+        if (isLost()) {
+            void clock.sleep(random() * 40 * faults.delayMilliseconds, stopAll.signal).then(action);
+        }
+        const answer = await action();
+        await own.sleep(random() * faults.delayMilliseconds, signal);
+        return isLost() ? err(lost) : answer;
+    };
+
+    const engineOf = (rank: number, own: Clock): RankEngine => {
+        const seat = group.seats[rank]!;
+        const order = (kind: string, fence: number, fields: object, signal: AbortSignal) =>
+            carry<RankMapStatus, EngineOrderFailure>(own, signal, { kind: "unreachable", reason: "lost" }, async () => {
+                if (seat.rank.down) {
+                    return err({ kind: "unreachable", reason: "down" });
+                }
+                const { body } = await seat.orders.execute({ fence, order: { kind, ...fields } });
+                return body["refused"] === undefined
+                    ? ok(body["status"] as RankMapStatus)
+                    : err({ kind: body["refused"] as EngineOrderFailure["kind"], reason: "refused" });
+            });
+        return {
+            status: signal =>
+                carry<RankMapStatus, EngineOrderFailure>(
+                    own,
+                    signal,
+                    { kind: "unreachable", reason: "lost" },
+                    () => seat.rank.down ? err({ kind: "unreachable", reason: "down" }) : ok(seat.map.status(-1)),
+                ),
+            prepare: (fence, fields, signal) => order("prepare-map", fence, fields, signal),
+            promise: (fence, fields, signal) => order("promise-map", fence, fields, signal),
+            release: (fence, fields, signal) => order("release-map", fence, fields, signal),
+        };
+    };
+
+    const peersOf = (rank: number, own: Clock): RankPeers => {
+        const lost: PeerFailure = { kind: "unreachable", reason: "lost" };
+        const reaches = (other: number): boolean => !faults.cutOff.has(rank) && !faults.cutOff.has(other);
+        /** The agent of `other` once it is not paused, or undefined if it can't be reached. */
+        const reach = async (other: number, signal: AbortSignal): Promise<MapSwitch | undefined> => {
+            const agent = fleet.agents[other]!;
+            while (clock.now() < agent.pausedUntil && !signal.aborted) {
+                await clock.sleep(agent.pausedUntil - clock.now(), signal);
+            }
+            return reaches(other) && !signal.aborted ? agent.mapSwitch : undefined;
+        };
+        return {
+            exchange: (other, news, signal) =>
+                carry<RankNews, PeerFailure>(own, signal, lost, async () => {
+                    const peer = await reach(other, signal);
+                    return peer === undefined ? err(lost) : ok(peer.answer(news));
+                }),
+            prepare: (other, fence, order, signal) =>
+                carry<void, PeerFailure>(own, signal, lost, async () => {
+                    const peer = await reach(other, signal);
+                    return peer === undefined ? err(lost) : peer.prepare(fence, order, signal);
+                }),
+        };
+    };
+
+    const startAgent = (rank: number): Agent => {
+        const stop = new AbortController();
+        setMaxListeners(0, stop.signal);
+        const incarnation = `agent-${rank}-${names++}`;
+        const agent = { stop, pausedUntil: 0 } as Agent;
+        // A paused process wakes from each of its waits only after the pause.
+        const own: Clock = {
+            now: clock.now,
+            sleep: async (milliseconds, signal) => {
+                await clock.sleep(milliseconds, signal);
+                while (clock.now() < agent.pausedUntil && !stop.signal.aborted) {
+                    await clock.sleep(agent.pausedUntil - clock.now(), stop.signal);
+                }
+            },
+        };
+        const stream = log.open();
+        const parts = {
+            rank,
+            ranks: shape.ranks,
+            incarnation,
+            engine: engineOf(rank, own),
+            peers: peersOf(rank, own),
+            log: startGroupLog({ stream, decode: body => body as GroupRecord, clock: own, signal: stop.signal }),
+            leadSteps: 3,
+            clock: own,
+            signal: stop.signal,
+        };
+        agent.mapSwitch = startMapSwitch(parts);
+        let plannedAt = clock.now();
+        void runMapCoordinator({
+            ...parts,
+            mapSwitch: agent.mapSwitch,
+            stream,
+            plan: async () => {
+                if (clock.now() - plannedAt < planEveryMilliseconds) {
+                    return undefined;
+                }
+                plannedAt = clock.now();
+                return uniformMap(shape);
+            },
+            newId: () => `plan-${names++}`,
+        });
+        return agent;
+    };
+
+    const fleet: MapFleet = {
+        clock,
+        group,
+        log,
+        agents: [],
+        faults,
+        restartAgent: rank => {
+            fleet.agents[rank]!.stop.abort();
+            fleet.agents[rank] = startAgent(rank);
+        },
+        crashRank: rank => {
+            const { rank: engineRank } = group.seats[rank]!;
+            if (!engineRank.down) {
+                engineRank.crash();
+            }
+        },
+        stop: () => {
+            stopAll.abort();
+            fleet.agents.forEach(agent => agent.stop.abort());
+        },
+    };
+    fleet.agents = [...Array(shape.ranks).keys()].map(startAgent);
+    return fleet;
+};
