--- a/src/coordination/accountLimits.ts
+++ b/src/coordination/accountLimits.ts
@@ -21,7 +21,7 @@
 export type OverLimit = { unit: LimitedUnit; retryAfterMilliseconds: number; };
 
 export type AccountLimits = {
-    /** Grants one request of at most `tokens` tokens, or tells when the account may come back. */
+    /** Grants one request of at most `tokens` tokens (0 for a plain service), or tells when the account may come back. */
     admit: (clientAccount: string, tokens: number) => Result<Grant, OverLimit>;
 };
 
@@ -84,7 +84,7 @@
     return {
         admit: (clientAccount, tokens) => {
             const requests = wait(limitName("requests", clientAccount), 1);
-            const generated = wait(limitName("tokens", clientAccount), tokens);
+            const generated = tokens === 0 ? undefined : wait(limitName("tokens", clientAccount), tokens);
             const requestWait = requests?.milliseconds ?? 0;
             const tokenWait = generated?.milliseconds ?? 0;
             if (requestWait > 0 || tokenWait > 0) {
--- a/src/coordination/demandExchange.ts
+++ b/src/coordination/demandExchange.ts
@@ -20,9 +20,9 @@
 /** Peers asked in each interval. */
 const peersAsked = 4;
 
-/** Builds the topic `demand` over `shares`; the decoders check what peers send. */
-export const demandTopic = (shares: AccountShares, decode: DemandDecoders): RelayTopic => ({
-    name: "demand",
+/** Builds the topic of one availability zone over `shares`; the decoders check what peers send. */
+export const demandTopic = (availabilityZone: string, shares: AccountShares, decode: DemandDecoders): RelayTopic => ({
+    name: `demand/${availabilityZone}`,
     digest: (): DemandDigest => {
         const [own, ...others] = shares.records() as [EntryRecord, ...EntryRecord[]];
         return { own, known: Object.fromEntries(others.map(({ host, sequence }) => [host, sequence])) };
--- /dev/null
+++ b/src/transport/accountLimiter.ts
@@ -0,0 +1,48 @@
+/**
+ * The limits of client accounts at one entry, connected to the settings, the host list and the other entries of its zone.
+ */
+import { type AccountLimits, createAccountLimits, parseLimitName } from "../coordination/accountLimits.js";
+import { type AccountShares, createAccountShares } from "../coordination/accountShares.js";
+import { demandTopic, startDemandExchange } from "../coordination/demandExchange.js";
+import type { EntryConfig } from "../protocol/daemonConfig.js";
+import { demandDecoders } from "../protocol/demandMessages.js";
+import type { HostRecord } from "../state/types.js";
+import type { DaemonCore } from "./daemonCore.js";
+import { createPeerExchange } from "./peerClient.js";
+import { systemClock } from "./systemClock.js";
+
+export type AccountLimiter = { limits: AccountLimits; shares: AccountShares; };
+
+/** Starts the exchange of demand; it ends when `signal` aborts. */
+export const startAccountLimiter = (
+    config: EntryConfig,
+    core: DaemonCore,
+    peerToken: string,
+    signal: AbortSignal,
+): AccountLimiter => {
+    const zoneEntries = (): HostRecord[] =>
+        core.hostList.hosts().filter(({ role, state, availabilityZone }) =>
+            role === "entry" && state === "live" && availabilityZone === config.availabilityZone
+        );
+    const shares = createAccountShares({
+        clock: systemClock,
+        host: config.host,
+        members: () => [...new Set([config.host, ...zoneEntries().map(({ host }) => host)])],
+        limitOf: name => {
+            const { unit, clientAccount } = parseLimitName(name);
+            const account = core.settings.clientAccount(clientAccount);
+            return unit === "tokens" ? account?.tokensPerSecond : account?.requestsPerSecond;
+        },
+    });
+    const topic = demandTopic(config.availabilityZone, shares, demandDecoders);
+    core.addTopic(topic);
+    void startDemandExchange({
+        shares,
+        topic,
+        peers: () => zoneEntries().filter(({ host }) => host !== config.host).map(({ address }) => address),
+        exchange: createPeerExchange(peerToken),
+        clock: systemClock,
+        signal,
+    });
+    return { limits: createAccountLimits(systemClock, shares), shares };
+};
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -12,8 +12,9 @@
 import { err, ok, type Result } from "neverthrow";
 import { createHash } from "node:crypto";
 import type { ServerResponse } from "node:http";
-import type { ModelEnd, ModelWork, ServiceAnswer, ServiceWork } from "../coordination/attempts.js";
+import type { ModelEnd, ServiceWork } from "../coordination/attempts.js";
 import type { TaskLimits } from "../coordination/completionTask.js";
+import type { EntryTasks } from "../coordination/entryTasks.js";
 import {
     type CompletionKind,
     type CompletionRequest,
@@ -32,22 +33,13 @@
 import { type NodeBindings, openStream, peerGoneSignal } from "./httpServer.js";
 import { bearerToken, digestOfKey } from "./tokens.js";
 
-export type CallerTools = {
+export type CallerTools = EntryTasks & {
     host: string;
     settings: SettingsReader;
     now: () => number;
     newId: () => string;
-    complete: (
-        work: ModelWork,
-        limits: TaskLimits,
-        onToken: (text: string) => void,
-        signal: AbortSignal,
-    ) => Promise<Result<ModelEnd, Refusal>>;
-    callService: (
-        work: ServiceWork,
-        limits: TaskLimits,
-        signal: AbortSignal,
-    ) => Promise<Result<ServiceAnswer, Refusal>>;
+    /** Whether the entry is about to stop, so that its health check fails. */
+    isStopping: () => boolean;
     onAnswer: (event: AnswerEvent) => void;
 };
 
@@ -65,6 +57,7 @@
 type Caller = { clientAccount: string; account: ClientAccountSettings; };
 
 const largestBodyBytes = 1_048_576;
+const stoppingStatus = 503;
 const eventStreamType = "text/event-stream";
 
 const digestOf = (...parts: string[]): string => createHash("sha256").update(JSON.stringify(parts)).digest("hex");
@@ -289,7 +282,10 @@
 export const createCallerApplication = (tools: CallerTools): Hono<NodeBindings> => {
     const application = new Hono<NodeBindings>();
     application.use(limitBody());
-    application.get("/health", context => context.text("ok"));
+    application.get(
+        "/health",
+        context => tools.isStopping() ? context.text("stopping", stoppingStatus) : context.text("ok"),
+    );
     application.post("/v1/completions", completionRoute(tools, "text"));
     application.post("/v1/chat/completions", completionRoute(tools, "chat"));
     application.all("/services/:service", serviceRoute(tools));
--- a/src/transport/entryDaemon.ts
+++ b/src/transport/entryDaemon.ts
@@ -3,16 +3,16 @@
  */
 import { Hono } from "hono";
 import { v7 as uuid } from "uuid";
-import type { AttemptEvent, TaskTools } from "../coordination/completionTask.js";
-import { runCompletion } from "../coordination/completionTask.js";
+import type { AttemptEvent } from "../coordination/completionTask.js";
 import { createEntryRouting } from "../coordination/entryRouting.js";
+import { createEntryTasks } from "../coordination/entryTasks.js";
 import type { Metrics } from "../coordination/metrics.js";
 import { createRetryBudget } from "../coordination/retryBudget.js";
-import { runServiceCall } from "../coordination/serviceTask.js";
 import { createUpstreamDirectory } from "../coordination/upstreamDirectory.js";
 import { startUpstreamWatch } from "../coordination/upstreamWatch.js";
 import type { EntryConfig } from "../protocol/daemonConfig.js";
 import type { SettingsReader } from "../protocol/settingsReader.js";
+import { startAccountLimiter } from "./accountLimiter.js";
 import { createAttemptClient } from "./attemptClient.js";
 import { type AnswerEvent, createCallerApplication } from "./callerServer.js";
 import { startDaemonCore, type Tokens } from "./daemonCore.js";
@@ -48,6 +48,8 @@
     log("attempt", event);
 };
 
+/** A stopping entry serves on for so long, while its health check tells the platform's balancer to pass it over. */
+const stopNoticeMilliseconds = 2_000;
 const defaultRetryBudgetRatio = 0.1;
 const defaultQueueLimit = 256;
 
@@ -83,31 +85,35 @@
         queueLimit: target => queueLimit(settings, target),
     });
     const budget = createRetryBudget(systemClock, () => settings.root()?.retryBudgetRatio ?? defaultRetryBudgetRatio);
-    const tools: TaskTools = {
-        chooser: routing,
-        attempts: createAttemptClient(tokens.peerToken),
-        clock: systemClock,
-        newId: uuid,
-        takeRetry: budget.takeRetry,
-        onAttempt: recordAttempt(metrics, logger),
-    };
+    const limiter = startAccountLimiter(config, core, tokens.peerToken, stopping.signal);
+    const tasks = createEntryTasks({
+        tools: {
+            chooser: routing,
+            attempts: createAttemptClient(tokens.peerToken),
+            clock: systemClock,
+            newId: uuid,
+            onAttempt: recordAttempt(metrics, logger),
+        },
+        accounts: limiter.limits,
+        budget,
+    });
+    let isStopping = false;
     const callers = createCallerApplication({
         host: config.host,
         settings,
         now: systemClock.now,
         newId: uuid,
-        complete: (work, limits, onToken, gone) => {
-            budget.recordRequest();
-            return runCompletion(tools, work, limits, onToken, gone);
-        },
-        callService: (work, limits, gone) => {
-            budget.recordRequest();
-            return runServiceCall(tools, work, limits, gone);
-        },
+        isStopping: () => isStopping,
+        ...tasks,
         onAnswer: recordAnswer(metrics, logger),
     });
     const control = new Hono<NodeBindings>();
-    core.addRoutes(control, () => ({ role: "entry", upstreams: directory.views(), queues: routing.queueLengths() }));
+    core.addRoutes(control, () => ({
+        role: "entry",
+        upstreams: directory.views(),
+        queues: routing.queueLengths(),
+        accountShares: limiter.shares.records(),
+    }));
     const callerListener = await listen(callers, config.listen);
     const controlListener = await listen(control, config.control);
     core.startRelay(controlListener.address);
@@ -115,6 +121,8 @@
         address: callerListener.address,
         control: controlListener.address,
         stop: async () => {
+            isStopping = true;
+            await systemClock.sleep(stopNoticeMilliseconds, stopping.signal);
             await callerListener.close();
             stopping.abort();
             await controlListener.close();
