--- a/src/coordination/quarantineKeeper.ts
+++ b/src/coordination/quarantineKeeper.ts
@@ -67,13 +67,26 @@
     const { stream, clock, agent, decodeReports } = options;
     const changes = createChanges(clock);
     const heard = new Map<string, HeardReport>();
-    const waitingTrials = new Set<string>();
+    /** Trials asked for, and whether each was the first of its digest once the log has told. */
+    const trials = new Map<string, "asked" | "first" | "not-first" | "turned-away">();
     let fold = emptyQuarantineFold();
     let atEnd = false;
     let identifiers = 0;
 
     const newId = (): string => `${agent}/${++identifiers}`;
 
+    // Every entry may stand in the log twice without effect, so all are sent again; but a trial does not wait for that.
+    const isStillWanted = (entry: QuarantineEntry): boolean => {
+        if (entry.kind !== "trial") {
+            return true;
+        }
+        if (trials.has(entry.trial)) {
+            trials.set(entry.trial, "turned-away");
+        }
+        changes.announce(entry.trial);
+        return false;
+    };
+
     const commit = createGroupCommit<QuarantineEntry>({
         clock,
         limits: defaultGroupCommitLimits,
@@ -81,8 +94,7 @@
         sizeOf: entry => JSON.stringify(entry).length,
         onSend: () => true,
         onTaken: () => undefined,
-        // Every entry may stand in the log twice without effect.
-        onFailure: entries => entries,
+        onFailure: (entries, { kind }) => kind === "refused" ? entries.filter(isStillWanted) : entries,
     });
 
     const verdict = (digest: string): Verdict => {
@@ -114,19 +126,23 @@
         commit.submitAlways({ kind: "crash", report });
     };
 
-    const settleTrial = (digest: string, trial: string): void => {
-        if (!waitingTrials.has(trial) && fold.suspicions.get(digest)?.trial === trial) {
+    const settleTrial = (by: string, digest: string, trial: string): void => {
+        const isFirst = fold.suspicions.get(digest)?.trial === trial;
+        if (trials.get(trial) === "asked") {
+            trials.set(trial, isFirst ? "first" : "not-first");
+            changes.announce(trial);
+        }
+        else if (by === agent && isFirst && trials.get(trial) !== "first") {
             // The trial turned up after its agent had stopped waiting for it.
             commit.submitAlways({ kind: "withdraw", digest, trial });
         }
-        changes.announce(trial);
     };
 
     const applyRecord = (record: LogRecord<QuarantineBatch>): void => {
         applyQuarantineRecord(fold, record, quarantineMilliseconds);
         for (const entry of record.body.entries) {
             if (entry.kind === "trial") {
-                settleTrial(entry.digest, entry.trial);
+                settleTrial(record.body.agent, entry.digest, entry.trial);
             }
             const digests = entry.kind === "crash" ? entry.report.digests : [entry.digest];
             digests.forEach(digest => changes.announce(digest));
@@ -148,25 +164,25 @@
             undecided: () => commit.submitAlways({ kind: "withdraw", digest, trial }),
         };
         return how => {
-            waitingTrials.delete(trial);
+            trials.delete(trial);
             ends[how]();
         };
     };
 
     const beginTrial = async (digest: string, signal: AbortSignal): Promise<Result<Trial, TrialRefusal>> => {
         const trial = newId();
-        waitingTrials.add(trial);
+        trials.set(trial, "asked");
         commit.submitAlways({ kind: "trial", digest, trial });
         await changes.wait(trial, longestTrialStartMilliseconds, signal);
-        const holder = fold.suspicions.get(digest)?.trial;
-        if (holder === trial && !signal.aborted && verdict(digest) === "on-trial") {
+        const settled = trials.get(trial);
+        if (settled === "first" && !signal.aborted && verdict(digest) === "on-trial") {
             return ok({ end: endTrial(digest, trial) });
         }
-        waitingTrials.delete(trial);
-        if (holder === trial) {
+        trials.delete(trial);
+        if (settled === "first") {
             commit.submitAlways({ kind: "withdraw", digest, trial });
         }
-        return err(holder === undefined ? "log-unavailable" : "not-first");
+        return err(settled === "first" || settled === "not-first" ? "not-first" : "log-unavailable");
     };
 
     const run = async (signal: AbortSignal): Promise<void> => {
--- /dev/null
+++ b/tests/support/crashFleet.ts
@@ -0,0 +1,124 @@
+/**
+ * Agents with real crash guards before upstreams in memory, over a log in memory and a stepped clock.
+ */
+import { err, ok } from "neverthrow";
+import { setMaxListeners } from "node:events";
+import type { ModelAttempt } from "../../src/coordination/attempts.js";
+import { type CrashGuard, createCrashGuard, type ServeAttempt } from "../../src/coordination/crashGuard.js";
+import { createQuarantineKeeper, type QuarantineKeeper } from "../../src/coordination/quarantineKeeper.js";
+import { decodeCrashReports } from "../../src/protocol/quarantineRecords.js";
+import type { QuarantineBatch } from "../../src/state/quarantineFold.js";
+import type { LoadReport } from "../../src/state/types.js";
+import { type FaultyLog, faultyLog } from "./faultyLog.js";
+import { type SteppedClock, steppedClock } from "./steppedClock.js";
+
+export type GuardedUpstream = {
+    keeper: QuarantineKeeper;
+    guard: CrashGuard;
+    /** Digests in flight at each crash. */
+    crashes: string[][];
+};
+
+export type CrashFleet = {
+    clock: SteppedClock;
+    log: FaultyLog<QuarantineBatch>;
+    upstreams: GuardedUpstream[];
+    /** Digests that crash whatever runs them. */
+    poison: Set<string>;
+    /** Sends a request through an entry with no memory, from upstream `first` on; resolves with its final answer. */
+    send: (digest: string, first: number) => Promise<string>;
+    stop: () => void;
+};
+
+const runMilliseconds = 200;
+const crashAfterMilliseconds = 30;
+const retryMilliseconds = 20;
+const deadlineMilliseconds = 10_000;
+
+const load: LoadReport = {
+    state: "warm",
+    incarnation: "",
+    running: 0,
+    limit: 0,
+    outstandingTokens: 0,
+    tokensPerSecond: 0,
+    takenAt: 0,
+};
+
+const attemptOf = (digest: string, timeoutMilliseconds: number, alone: boolean): ModelAttempt => ({
+    requestId: digest,
+    clientAccount: "portal",
+    priority: "interactive",
+    model: "council",
+    prompt: digest,
+    maximumTokens: 1,
+    digest,
+    attempt: digest,
+    resumeFrom: 0,
+    timeoutMilliseconds,
+    alone,
+});
+
+const writer = { isOpen: () => false, token: () => undefined, heartbeat: () => undefined };
+
+export const crashFleet = (size: number): CrashFleet => {
+    const controller = new AbortController();
+    const { signal } = controller;
+    setMaxListeners(0, signal);
+    const clock = steppedClock(Date.UTC(2030, 0, 1));
+    const log = faultyLog<QuarantineBatch>(clock, signal, "quarantine");
+
+    const start = (name: string): GuardedUpstream & { serve: (digest: string) => ServeAttempt; } => {
+        const keeper = createQuarantineKeeper({
+            stream: log.open(),
+            clock,
+            agent: name,
+            decodeReports: decodeCrashReports,
+        });
+        void keeper.run(signal);
+        const running = new Map<AbortController, string>();
+        const crashes: string[][] = [];
+        const crash = (): void => {
+            crashes.push([...running.values()]);
+            [...running.keys()].forEach(request => request.abort());
+        };
+        const serve = (digest: string): ServeAttempt => async () => {
+            const request = new AbortController();
+            running.set(request, digest);
+            await clock.sleep(fleet.poison.has(digest) ? crashAfterMilliseconds : runMilliseconds, request.signal);
+            if (fleet.poison.has(digest) && !request.signal.aborted) {
+                crash();
+            }
+            running.delete(request);
+            return request.signal.aborted
+                ? ok(err({ kind: "crashed", reason: "crash" }))
+                : ok(ok({ tokens: 1, finishReason: "stop", load }));
+        };
+        const guard = createCrashGuard({ host: name, clock, keeper, heartbeatMilliseconds: 500 });
+        return { keeper, guard, crashes, serve };
+    };
+
+    const upstreams = [...Array(size).keys()].map(index => start(`upstream ${index}`));
+
+    const send = async (digest: string, first: number): Promise<string> => {
+        const deadline = clock.now() + deadlineMilliseconds;
+        let alone = false;
+        for (let next = first; clock.now() < deadline; next++) {
+            const upstream = upstreams[next % size]!;
+            const attempt = attemptOf(digest, deadline - clock.now(), alone);
+            const served = await upstream.guard.run(attempt, writer, upstream.serve(digest), signal);
+            if (served.isErr() && served.error.code !== "upstream-full") {
+                return served.error.code;
+            }
+            if (served.isOk() && served.value.isOk()) {
+                return "complete";
+            }
+            alone ||= served.isOk();
+            await clock.sleep(retryMilliseconds, signal);
+        }
+        return "deadline-passed";
+    };
+
+    const fleet: CrashFleet = { clock, log, upstreams, poison: new Set(), send, stop: () => controller.abort() };
+    return fleet;
+};
