Hold callers' bad input to typed refusals

Found by the new tests: a failure inside the entry was answered as "malformed-request", not-run, though the request may have run (now "internal", unknown); an idempotency key of another kind reached an agent; an encoded service name changed the path that the service got; two accounts could have shared one stored answer, since the digest did not name the account.

--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -30,6 +30,7 @@
 import type { SettingsReader } from "../protocol/settingsReader.js";
 import { type ClientAccountSettings, isIdempotentRoute } from "../protocol/settingsSchema.js";
 import { type Refusal, refusal } from "../state/errors.js";
+import { normalizeIdempotencyKey } from "../state/idempotencyKey.js";
 import { type NodeBindings, openStream, peerGoneSignal } from "./httpServer.js";
 import { bearerToken, digestOfKey } from "./tokens.js";
 
@@ -58,6 +59,8 @@
 
 const largestBodyBytes = 1_048_576;
 const stoppingStatus = 503;
+/** Segments of a service's URL before the service's own path: an empty one, "services" and the service's name. */
+const segmentsBeforePath = 3;
 const eventStreamType = "text/event-stream";
 
 const digestOf = (...parts: string[]): string => createHash("sha256").update(JSON.stringify(parts)).digest("hex");
@@ -195,6 +198,14 @@
     return answer.finish(ended);
 };
 
+const readIdempotencyKey = (given: string | undefined, service: string): Result<string, Refusal> => {
+    if (given === undefined) {
+        return err(refusal("missing-idempotency-key", [service]));
+    }
+    const key = normalizeIdempotencyKey(given);
+    return key === undefined ? err(refusal("invalid-idempotency-key", [given])) : ok(key);
+};
+
 const serviceWork = async (
     tools: CallerTools,
     context: Context<NodeBindings>,
@@ -210,14 +221,15 @@
         return err(refusal("unknown-service", [service]));
     }
     const url = new URL(context.req.url);
-    const path = `${url.pathname.slice(`/services/${service}`.length) || "/"}${url.search}`;
+    const path = `/${url.pathname.split("/").slice(segmentsBeforePath).join("/")}${url.search}`;
     const { method } = context.req;
-    const idempotencyKey = isIdempotentRoute(settings, method, path)
-        ? undefined
-        : context.req.header("idempotency-key");
-    if (idempotencyKey === undefined && !isIdempotentRoute(settings, method, path)) {
-        return err(refusal("missing-idempotency-key", [service]));
+    const key = isIdempotentRoute(settings, method, path)
+        ? ok(undefined)
+        : readIdempotencyKey(context.req.header("idempotency-key"), service);
+    if (key.isErr()) {
+        return err(key.error);
     }
+    const idempotencyKey = key.value;
     const body = await context.req.text();
     const contentType = context.req.header("content-type");
     const timeout = settings.timeoutMilliseconds ?? settings.requestTimeoutMilliseconds;
@@ -230,7 +242,8 @@
             method,
             path,
             body,
-            digest: digestOf(service, method, path, body),
+            // Names the account too, so that no account gets the answer kept for another's key.
+            digest: digestOf(caller.value.clientAccount, service, method, path, body),
             ...(contentType === undefined ? {} : { contentType }),
             ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
         },
@@ -291,6 +304,6 @@
     application.all("/services/:service", serviceRoute(tools));
     application.all("/services/:service/*", serviceRoute(tools));
     application.notFound(context => refuse(context, refusal("unknown-route", [context.req.method, context.req.path])));
-    application.onError((error, context) => refuse(context, refusal("malformed-request", [error.message])));
+    application.onError((error, context) => refuse(context, refusal("internal", [tools.host])));
     return application;
 };
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -15,10 +15,23 @@
 /** Bindings that give handlers Node's own response, for streams that are written line by line. */
 export type NodeBindings = { Bindings: HttpBindings; };
 
-const headersTimeoutMilliseconds = 5_000;
-const requestTimeoutMilliseconds = 10_000;
+/** What a peer may send, and how long it may take to send it. */
+export type ReceiveLimits = {
+    headerBytes: number;
+    headersTimeoutMilliseconds: number;
+    requestTimeoutMilliseconds: number;
+    /** How often the two time limits are checked. */
+    checkIntervalMilliseconds: number;
+};
+
+const defaultReceiveLimits: ReceiveLimits = {
+    headerBytes: 16_384,
+    headersTimeoutMilliseconds: 5_000,
+    requestTimeoutMilliseconds: 10_000,
+    checkIntervalMilliseconds: 1_000,
+};
+
 const keepAliveTimeoutMilliseconds = 30_000;
-const largestHeaderBytes = 16_384;
 const closeSweepMilliseconds = 50;
 const openStatus = 200;
 
@@ -51,16 +64,17 @@
 export const listen = async <Environment extends NodeBindings>(
     application: Hono<Environment>,
     address: string,
+    limits: ReceiveLimits = defaultReceiveLimits,
 ): Promise<Listener> => {
     const [ip = "127.0.0.1", port = "0"] = address.split(":");
     const server = createAdaptorServer({
         fetch: application.fetch,
         serverOptions: {
-            maxHeaderSize: largestHeaderBytes,
-            headersTimeout: headersTimeoutMilliseconds,
-            requestTimeout: requestTimeoutMilliseconds,
+            maxHeaderSize: limits.headerBytes,
+            headersTimeout: limits.headersTimeoutMilliseconds,
+            requestTimeout: limits.requestTimeoutMilliseconds,
             keepAliveTimeout: keepAliveTimeoutMilliseconds,
-            connectionsCheckingInterval: 1_000,
+            connectionsCheckingInterval: limits.checkIntervalMilliseconds,
         },
     }) as Server;
     server.on("clientError", answerClientError);
--- /dev/null
+++ b/tests/badInput.test.ts
@@ -0,0 +1,189 @@
+import { expect } from "chai";
+import { err } from "neverthrow";
+import { connect } from "node:net";
+import { v7 as uuid } from "uuid";
+import { createSettingsReader } from "../src/protocol/settingsReader.js";
+import { refusal } from "../src/state/errors.js";
+import { createCallerApplication } from "../src/transport/callerServer.js";
+import { listen, type Listener } from "../src/transport/httpServer.js";
+import { digestOfKey } from "../src/transport/tokens.js";
+
+const key = "portal-key";
+
+const settingsState = {
+    offset: 0,
+    nodes: new Map(Object.entries({
+        "clientAccounts/portal": { offset: 0, value: { apiKeyDigests: [digestOfKey(key)], models: ["council"] } },
+        "clientAccounts/other": { offset: 0, value: { apiKeyDigests: [digestOfKey("other-key")] } },
+        "clientAccounts/broken": { offset: 0, value: { apiKeyDigests: [digestOfKey("broken")], priority: "urgent" } },
+        "groups/council": { offset: 0, value: { model: "council", ranks: 1, layers: 1 } },
+        "groups/secret": { offset: 0, value: { model: "secret", ranks: 1, layers: 1 } },
+        "services/dispatch": { offset: 0, value: {} },
+    })),
+};
+
+describe("bad input of callers", () => {
+    let listener: Listener;
+    let reached = 0;
+    let lastWork: { path?: string; digest: string; };
+
+    beforeEach(async () => {
+        reached = 0;
+        const reach = async (work: typeof lastWork) => {
+            reached++;
+            lastWork = work;
+            return err(refusal("no-upstream", ["council"]));
+        };
+        const application = createCallerApplication({
+            host: "entry-1",
+            settings: createSettingsReader(() => settingsState),
+            now: Date.now,
+            newId: () => "id",
+            complete: reach,
+            callService: reach,
+            isStopping: () => false,
+            onAnswer: () => undefined,
+        });
+        listener = await listen(application, "127.0.0.1:0", {
+            headerBytes: 16_384,
+            headersTimeoutMilliseconds: 40,
+            requestTimeoutMilliseconds: 60,
+            checkIntervalMilliseconds: 10,
+        });
+    });
+
+    afterEach(() => listener.close());
+
+    const completion = { model: "council", prompt: "a", max_tokens: 1 };
+
+    const send = async (path: string, body: unknown, headers: Record<string, string> = {}) => {
+        const response = await fetch(`http://${listener.address}${path}`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${key}`, ...headers },
+            body: typeof body === "string" ? body : JSON.stringify(body),
+        });
+        return {
+            status: response.status,
+            outcome: response.headers.get("cyclamengap-outcome"),
+            body: await response.json() as { error: { code: string; message: string; outcome: string; }; },
+        };
+    };
+
+    /** Writes raw bytes on a connection and gives what comes back until it closes. */
+    const sendRaw = (text: string): Promise<string> =>
+        new Promise((resolve, reject) => {
+            const [host, port] = listener.address.split(":");
+            const socket = connect(Number(port), host, () => socket.write(text));
+            let answer = "";
+            socket.on("data", chunk => {
+                answer += chunk.toString();
+            });
+            socket.on("close", () => resolve(answer));
+            socket.on("error", reject);
+        });
+
+    const cases: [string, string, unknown, Record<string, string>, number, string][] = [
+        ["a body that is not JSON", "/v1/completions", "{", {}, 400, "malformed-body"],
+        ["a body of another shape", "/v1/completions", { model: "council" }, {}, 400, "malformed-body"],
+        [
+            "a chat without messages",
+            "/v1/chat/completions",
+            { model: "council", messages: [] },
+            {},
+            400,
+            "malformed-body",
+        ],
+        ["too many tokens", "/v1/completions", { ...completion, max_tokens: 1e9 }, {}, 400, "malformed-body"],
+        ["an unknown model", "/v1/completions", { ...completion, model: "no" }, {}, 404, "unknown-model"],
+        [
+            "a model the account may not call",
+            "/v1/completions",
+            { ...completion, model: "secret" },
+            {},
+            404,
+            "unknown-model",
+        ],
+        ["a wrong key", "/v1/completions", completion, { authorization: "Bearer no" }, 401, "unauthenticated"],
+        ["another scheme", "/v1/completions", completion, { authorization: "Basic eDp5" }, 401, "unauthenticated"],
+        [
+            "an account never readable",
+            "/v1/completions",
+            completion,
+            { authorization: "Bearer broken" },
+            401,
+            "unauthenticated",
+        ],
+        ["an unknown service", "/services/no/a", {}, {}, 404, "unknown-service"],
+        ["no idempotency key", "/services/dispatch/a", {}, {}, 428, "missing-idempotency-key"],
+        [
+            "an idempotency key of another kind",
+            "/services/dispatch/a",
+            {},
+            { "idempotency-key": "1" },
+            400,
+            "invalid-idempotency-key",
+        ],
+        ["a body over the limit", "/v1/completions", "a".repeat(1_048_577), {}, 413, "body-too-large"],
+        ["an unknown path", "/v2/completions", completion, {}, 404, "unknown-route"],
+    ];
+
+    it("never says not-run of a request that failed inside the entry", async () => {
+        const broken = createCallerApplication({
+            host: "entry-1",
+            settings: createSettingsReader(() => settingsState),
+            now: Date.now,
+            newId: () => "id",
+            complete: () => Promise.reject(new Error("broken")),
+            callService: () => Promise.reject(new Error("broken")),
+            isStopping: () => false,
+            onAnswer: () => undefined,
+        });
+        await listener.close();
+        listener = await listen(broken, "127.0.0.1:0");
+        const answer = await send("/v1/completions", completion);
+        expect(answer.status).to.equal(500);
+        expect(answer.body.error).to.include({ code: "internal", outcome: "unknown" });
+    });
+
+    for (const [name, path, body, headers, status, code] of cases) {
+        it(`refuses ${name} with ${status} ${code}`, async () => {
+            const answer = await send(path, body, headers);
+            expect(answer.body.error.code).to.equal(code);
+            expect(answer.status).to.equal(status);
+            expect(answer.outcome).to.equal("not-run");
+            expect(answer.body.error.outcome).to.equal("not-run");
+            expect(reached).to.equal(0);
+        });
+    }
+
+    it("keeps apart two accounts that use one idempotency key with one body", async () => {
+        const digests = [];
+        for (const authorization of [`Bearer ${key}`, `Bearer other-key`]) {
+            await send("/services/dispatch/a", {}, { authorization, "idempotency-key": uuid() });
+            digests.push(lastWork.digest);
+        }
+        expect(digests[0]).to.not.equal(digests[1]);
+    });
+
+    it("passes a service its own path, however the caller spells the service's name", async () => {
+        await send("/services/dis%70atch/a%2Fb?c=1", {}, { "idempotency-key": uuid() });
+        expect(lastWork.path).to.equal("/a%2Fb?c=1");
+    });
+
+    it("refuses a flood of headers", async () => {
+        const answer = await sendRaw(`GET /health HTTP/1.1\r\nHost: a\r\nX-Flood: ${"a".repeat(20_000)}\r\n\r\n`);
+        expect(answer).to.match(/^HTTP\/1.1 431/).and.contain("headers-too-large");
+    });
+
+    it("refuses bytes that are not HTTP", async () => {
+        expect(await sendRaw("hello\r\n\r\n")).to.match(/^HTTP\/1.1 400/).and.contain("malformed-request");
+    });
+
+    it("gives up a caller that sends its request slowly", async () => {
+        const head = "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n";
+        expect(await sendRaw(head)).to.match(/^HTTP\/1.1 408/).and.contain("request-too-slow");
+        const withBody = `${head}Authorization: Bearer ${key}\r\n\r\n{"model"`;
+        expect(await sendRaw(withBody)).to.match(/^HTTP\/1.1 4/).and.contain(`"not-run"`);
+        expect(reached).to.equal(0);
+    });
+});
