--- a/src/coordination/entryRouting.ts
+++ b/src/coordination/entryRouting.ts
@@ -78,13 +78,10 @@
             progress,
             finish: ({ failure, load }) => {
                 const reported = load ?? (failure !== undefined && "load" in failure ? failure.load : undefined);
-                if (reported !== undefined) {
-                    directory.observeLoad(host, reported);
-                }
                 if (failure?.kind === "unreachable" || failure?.kind === "cut") {
                     directory.observeFailure(host);
                 }
-                end();
+                end(reported);
             },
         };
     };
--- a/src/coordination/upstreamDirectory.ts
+++ b/src/coordination/upstreamDirectory.ts
@@ -39,8 +39,8 @@
     readonly lost: AbortSignal;
     /** Counts `tokens` received tokens off the outstanding ones. */
     progress: (tokens: number) => void;
-    /** Ends the request; further calls have no effect. */
-    end: () => void;
+    /** Ends the request; `load` is what the agent reported without it. Further calls have no effect. */
+    end: (load?: LoadReport) => void;
 };
 
 export type UpstreamDirectory = {
@@ -172,6 +172,24 @@
         inFlight: new Set(),
     });
 
+    const observeLoad = (host: string, load: LoadReport): void => {
+        const entry = entries.get(host);
+        if (entry === undefined) {
+            return;
+        }
+        const now = clock.now();
+        const older = entry.load !== undefined && load.takenAt < entry.load.takenAt;
+        if (older && now - entry.heardAt < reorderWindowMilliseconds) {
+            return;
+        }
+        entry.load = load;
+        entry.heardAt = now;
+        entry.suspected = false;
+        entry.othersRunning = Math.max(0, load.running - entry.ownRunning);
+        entry.othersTokens = Math.max(0, load.outstandingTokens - entry.ownTokens);
+        changed(host);
+    };
+
     return {
         replaceHosts: (version, hosts) => {
             if (version <= listVersion) {
@@ -192,23 +210,7 @@
             }
             changed();
         },
-        observeLoad: (host, load) => {
-            const entry = entries.get(host);
-            if (entry === undefined) {
-                return;
-            }
-            const now = clock.now();
-            const older = entry.load !== undefined && load.takenAt < entry.load.takenAt;
-            if (older && now - entry.heardAt < reorderWindowMilliseconds) {
-                return;
-            }
-            entry.load = load;
-            entry.heardAt = now;
-            entry.suspected = false;
-            entry.othersRunning = Math.max(0, load.running - entry.ownRunning);
-            entry.othersTokens = Math.max(0, load.outstandingTokens - entry.ownTokens);
-            changed(host);
-        },
+        observeLoad,
         observeFailure: host => {
             const entry = entries.get(host);
             if (entry !== undefined && !entry.suspected) {
@@ -239,7 +241,7 @@
             return {
                 lost: lost.signal,
                 progress,
-                end: () => {
+                end: load => {
                     if (ended) {
                         return;
                     }
@@ -249,7 +251,13 @@
                         entry.ownRunning -= 1;
                         entry.inFlight.delete(lost);
                     }
-                    changed(host);
+                    // The report counts this request no more, so it must be taken after the own count has fallen.
+                    if (load === undefined) {
+                        changed(host);
+                    }
+                    else {
+                        observeLoad(host, load);
+                    }
                 },
             };
         },
--- /dev/null
+++ b/tests/retries.test.ts
@@ -0,0 +1,174 @@
+import { expect } from "chai";
+import { err, ok, type Result } from "neverthrow";
+import type { AttemptFailure, ModelAttempt, ModelEnd, TokenSink } from "../src/coordination/attempts.js";
+import { runCompletion } from "../src/coordination/completionTask.js";
+import { createEntryRouting } from "../src/coordination/entryRouting.js";
+import { createUpstreamDirectory } from "../src/coordination/upstreamDirectory.js";
+import { refusal } from "../src/state/errors.js";
+import type { HostRecord, LoadReport } from "../src/state/types.js";
+import { advanceUntil } from "./support/advance.js";
+import { seededRandom } from "./support/random.js";
+import { steppedClock } from "./support/steppedClock.js";
+
+const load = (overrides: Partial<LoadReport> = {}): LoadReport => ({
+    state: "warm",
+    incarnation: "first",
+    running: 0,
+    limit: 1,
+    outstandingTokens: 0,
+    tokensPerSecond: 100,
+    takenAt: 0,
+    ...overrides,
+});
+
+type Attempt = (attempt: ModelAttempt, onToken: TokenSink, host: string) => Result<ModelEnd, AttemptFailure>;
+
+const whole: Attempt = (attempt, onToken) => {
+    for (let index = attempt.resumeFrom; index < attempt.maximumTokens; index += 1) {
+        onToken(index, `${index} `);
+    }
+    return ok({ tokens: attempt.maximumTokens, finishReason: "stop", load: load() });
+};
+
+/** Fails after the tokens that the caller has and `tokens` more. */
+const failing = (failure: AttemptFailure, tokens = 0): Attempt => (attempt, onToken) => {
+    for (let index = attempt.resumeFrom; index < attempt.resumeFrom + tokens; index += 1) {
+        onToken(index, `${index} `);
+    }
+    return err(failure);
+};
+
+/** An entry before two upstreams; `script` answers its attempts one after the other, and then all are whole. */
+const createEntry = (script: Attempt[], { budget = 100, hosts = ["near-0", "near-1"] } = {}) => {
+    const clock = steppedClock(0);
+    const random = seededRandom(3);
+    const directory = createUpstreamDirectory({
+        clock,
+        host: "entry-1",
+        availabilityZone: "medina",
+        isZoneOut: () => false,
+    });
+    directory.replaceHosts(
+        1,
+        hosts.map((host, rank): HostRecord => ({
+            host,
+            availabilityZone: "medina",
+            role: "upstream",
+            state: "live",
+            address: `127.0.0.1:${9000 + rank}`,
+            serves: { kind: "group", group: "council", rank },
+        })),
+    );
+    hosts.forEach(host => directory.observeLoad(host, load()));
+    const routing = createEntryRouting({
+        directory,
+        clock,
+        random,
+        groupsOfModel: () => ["council"],
+        queueLimit: () => 10,
+    });
+    const tried: string[] = [];
+    let retries = 0;
+    const texts: string[] = [];
+    const run = () =>
+        runCompletion(
+            {
+                chooser: routing,
+                attempts: {
+                    runModel: async (upstream, attempt, onToken) => {
+                        tried.push(upstream.host);
+                        return (script.shift() ?? whole)(attempt, onToken, upstream.host);
+                    },
+                    runService: async () => err({ kind: "cut", reason: "" }),
+                },
+                clock,
+                newId: () => `attempt-${tried.length}`,
+                takeRetry: () => ++retries <= budget,
+                onAttempt: () => undefined,
+            },
+            {
+                requestId: "request",
+                clientAccount: "portal",
+                priority: "interactive",
+                model: "council",
+                prompt: "Summarise",
+                maximumTokens: 5,
+                digest: "digest",
+            },
+            { deadline: clock.now() + 10_000, maximumRetries: 2 },
+            text => texts.push(text),
+            new AbortController().signal,
+        );
+    return { clock, directory, run, tried, texts, retries: () => retries };
+};
+
+const cut: AttemptFailure = { kind: "cut", reason: "connection reset" };
+const crashed: AttemptFailure = { kind: "crashed", reason: "connection reset" };
+
+describe("retries of a completion", () => {
+    it("resumes a cut answer on another upstream, free of the retry budget", async () => {
+        const entry = createEntry([failing(cut, 2)], { budget: 0 });
+        expect((await entry.run()).isOk()).to.equal(true);
+        expect(entry.texts.join("")).to.equal("0 1 2 3 4 ");
+        expect(new Set(entry.tried).size).to.equal(2);
+    });
+
+    it("repeats work that may have been done in vain only within the budget", async () => {
+        const entry = createEntry([failing(cut)], { budget: 0 });
+        expect((await entry.run())._unsafeUnwrapErr()).to.include({ code: "interrupted", outcome: "unknown" });
+        const within = createEntry([failing(cut)], { budget: 1 });
+        expect((await within.run()).isOk()).to.equal(true);
+        expect(within.retries()).to.equal(1);
+    });
+
+    it("gives a request that crashes upstreams no more than its own retries, even if each gave some tokens", async () => {
+        const entry = createEntry(Array<Attempt>(10).fill(failing(crashed, 1)));
+        const { directory, clock } = entry;
+        const ended = entry.run();
+        let isOver = false;
+        void ended.then(() => isOver = true);
+        await advanceUntil(clock, () => {
+            ["near-0", "near-1"].forEach(host => directory.observeLoad(host, load({ takenAt: clock.now() })));
+            return isOver;
+        });
+        expect((await ended)._unsafeUnwrapErr().code).to.equal("interrupted");
+        expect(entry.tried).to.have.length(3);
+    });
+
+    it("waits for a place when the gate refuses, and does not run the request twice", async () => {
+        const full = (takenAt: number): Attempt =>
+            failing({
+                kind: "refused",
+                refusal: refusal("upstream-full", ["near"]),
+                load: load({ running: 1, takenAt }),
+            });
+        const entry = createEntry([full(1), full(1)], { budget: 0 });
+        const ended = entry.run();
+        await advanceUntil(entry.clock, () => entry.tried.length === 2);
+        entry.directory.observeLoad("near-1", load({ takenAt: 500 }));
+        expect((await ended).isOk()).to.equal(true);
+        expect(entry.tried.at(-1)).to.equal("near-1");
+    });
+
+    it("refuses a request at once if no upstream serves it, and after a short wait if one may come back", async () => {
+        expect((await createEntry([], { hosts: [] }).run())._unsafeUnwrapErr()).to.include({
+            code: "no-upstream",
+            outcome: "not-run",
+            retryAfterSeconds: 1,
+        });
+
+        const entry = createEntry([]);
+        ["near-0", "near-1"].forEach(entry.directory.observeFailure);
+        const ended = entry.run();
+        await advanceUntil(entry.clock, () => entry.clock.now() >= 500);
+        expect(entry.tried).to.have.length(0);
+        entry.directory.observeLoad("near-0", load({ takenAt: 500 }));
+        expect((await ended).isOk()).to.equal(true);
+    });
+
+    it("passes an agent's final refusal on", async () => {
+        const entry = createEntry([failing({ kind: "refused", refusal: refusal("quarantined", ["digest"]) })]);
+        expect((await entry.run())._unsafeUnwrapErr().code).to.equal("quarantined");
+        expect(entry.tried).to.have.length(1);
+    });
+});
--- a/tests/upstreamDirectory.test.ts
+++ b/tests/upstreamDirectory.test.ts
@@ -167,15 +167,20 @@
                 await settle();
             }
         };
+        const { lost, end } = directory.begin("medina-0", 100);
         await settle();
         expect(probes).to.deep.equal([]);
 
         await advance(1_000);
         expect(probes.sort()).to.deep.equal(["ifrane-2", "medina-0", "medina-1"]);
         expect(chooseMany()).to.deep.equal(new Set(["medina-1"]));
+        expect(lost.aborted).to.equal(false);
+        await advance(200);
+        expect(lost.aborted).to.equal(true);
+        end();
 
         frozen = false;
-        await advance(300);
+        await advance(800);
         expect(chooseMany()).to.deep.equal(new Set(["medina-0", "medina-1"]));
         stop.abort();
         await settle();
