--- /dev/null
+++ b/tests/atMostOnceProcesses.test.ts
@@ -0,0 +1,209 @@
+/**
+ * Non-idempotent calls through real entries and agents that are killed, paused and cut from the log.
+ *
+ * The record of runs that the service keeps is the judge.
+ */
+import { expect } from "chai";
+import { v7 as uuid } from "uuid";
+import type { ClaimEntry } from "../src/state/claimFold.js";
+import { apiKey, type Daemon, type Deployment, getJson, postJson, startDeployment } from "./support/deployment.js";
+import { killAllPrograms } from "./support/processes.js";
+
+/** Asks until `probe` holds; a process tells of none of what is asked for here. */
+const until = async (probe: () => Promise<boolean>): Promise<void> => {
+    while (!await probe()) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+};
+
+type Answer = { status: number; outcome: string | null; code?: string; receipt?: number; };
+
+type Batch = { agent: string; entries: ClaimEntry[]; };
+
+const callMilliseconds = 4_000;
+
+describe("at most once, as separate processes", () => {
+    let deployment: Deployment;
+
+    const start = async (): Promise<void> => {
+        deployment = await startDeployment({
+            entries: [{ host: "entry-1", availabilityZone: "medina" }, { host: "entry-2", availabilityZone: "medina" }],
+            services: [{ service: "dispatch", availabilityZone: "medina", agents: 2 }],
+        });
+        await serving();
+    };
+
+    beforeEach(start);
+
+    afterEach(async () => {
+        await deployment.stop();
+        killAllPrograms();
+    });
+
+    const send = async (entry: number, key: string, milliseconds = callMilliseconds): Promise<Answer> => {
+        const response = await fetch(`http://${deployment.entries[entry]!.address}/services/dispatch/pallets`, {
+            method: "POST",
+            headers: {
+                "authorization": `Bearer ${apiKey}`,
+                "idempotency-key": key,
+                "cyclamengap-timeout-milliseconds": String(milliseconds),
+            },
+            body: `{"pallets":2}`,
+        });
+        const body = await response.json() as { error?: { code: string; }; receipt?: number; };
+        const outcome = response.headers.get("cyclamengap-outcome");
+        return {
+            status: response.status,
+            outcome,
+            ...(body.error === undefined ? {} : { code: body.error.code }),
+            ...(body.receipt === undefined ? {} : { receipt: body.receipt }),
+        };
+    };
+
+    /** Both agents have read the claims and take calls. */
+    const serving = (): Promise<void> => until(async () => (await send(0, uuid())).outcome === "complete");
+
+    const service = (): string => `http://${deployment.services.get("dispatch")!.address}`;
+
+    const runsOf = async (key: string): Promise<number> => {
+        const runs = await getJson<{ idempotencyKey?: string; }[]>(`${service()}/_runs`);
+        return runs.filter(({ idempotencyKey }) => idempotencyKey === key).length;
+    };
+
+    const setLogFaults = (log: Record<string, unknown>): Promise<Response> =>
+        postJson(`${deployment.platform.url}/faults`, { log });
+
+    /** Resolves with the agent of the first entry in the claims stream that satisfies `matches`. */
+    const agentOf = async (matches: (entry: ClaimEntry) => boolean): Promise<string> => {
+        const url = `${deployment.platform.url}/log/${encodeURIComponent("claims/dispatch")}/records?from=0&limit=1000`;
+        let found: Batch | undefined;
+        await until(async () => {
+            const { records } = await getJson<{ records: { body: Batch; }[]; }>(url);
+            found = records.map(({ body }) => body).find(({ entries }) => entries.some(matches));
+            return found !== undefined;
+        });
+        return found!.agent.split("/")[0]!;
+    };
+
+    const isOf = (kind: ClaimEntry["kind"], key: string) => (entry: ClaimEntry): boolean =>
+        entry.kind === kind && entry.key === key;
+
+    const agentNamed = (host: string): Daemon => deployment.agents.get(host)!;
+
+    /** The agent that holds the claim of `key`, stopped while the log is too slow for it to read the claim back. */
+    const stopBetweenClaimAndRun = async (key: string, signal: "SIGKILL" | "SIGSTOP"): Promise<Daemon> => {
+        const agents = [...deployment.agents.values()];
+        const holders = agents.map(agent => agent.host);
+        await until(async () => {
+            const { appends } = await getJson<{ log: { appends: number; }; }>(`${deployment.platform.url}/metrics`)
+                .then(({ log }) => log);
+            return appends > appendsBefore;
+        });
+        agents.forEach(agent => agent.program.signal("SIGSTOP"));
+        const holder = agentNamed(await agentOf(isOf("claim", key)));
+        agents.filter(agent => agent !== holder).forEach(agent => agent.program.signal("SIGCONT"));
+        if (signal === "SIGKILL") {
+            await holder.program.kill();
+        }
+        expect(holders).to.include(holder.host);
+        return holder;
+    };
+
+    let appendsBefore = 0;
+
+    const slowLog = async (): Promise<void> => {
+        const { log } = await getJson<{ log: { appends: number; }; }>(`${deployment.platform.url}/metrics`);
+        appendsBefore = log.appends;
+        await setLogFaults({ delayMilliseconds: 400 });
+    };
+
+    it("runs a key once that two entries send to two agents at once", async () => {
+        const keys = Array.from({ length: 40 }, () => uuid());
+        const answers = await Promise.all(keys.map(key => Promise.all([send(0, key), send(1, key)])));
+        for (const [index, [first, second]] of answers.entries()) {
+            expect([first.outcome, second.outcome]).to.deep.equal(["complete", "complete"]);
+            expect(first.receipt).to.equal(second.receipt);
+            expect(await runsOf(keys[index]!)).to.equal(1);
+        }
+    });
+
+    it("settles a lost answer of the log and runs the call once", async () => {
+        await setLogFaults({ loseAnswers: 1 });
+        const key = uuid();
+        expect((await send(0, key)).outcome).to.equal("complete");
+        expect((await send(1, key)).outcome).to.equal("complete");
+        expect(await runsOf(key)).to.equal(1);
+    });
+
+    it("refuses while the log is down, and runs the same key when it is back", async () => {
+        await setLogFaults({ outage: true });
+        const key = uuid();
+        expect(await send(0, key)).to.include({ outcome: "not-run", code: "log-unavailable" });
+        expect(await runsOf(key)).to.equal(0);
+        await setLogFaults({ outage: false });
+        await until(async () => (await send(1, key)).outcome === "complete");
+        expect(await runsOf(key)).to.equal(1);
+    });
+
+    it("replays an answer that the service gave while the log was down", async () => {
+        await postJson(`${service()}/_faults`, { answerDelayMilliseconds: 300 });
+        const key = uuid();
+        const first = send(0, key);
+        await until(async () => await runsOf(key) === 1);
+        await setLogFaults({ outage: true });
+        expect((await first).outcome).to.equal("complete");
+        await setLogFaults({ outage: false });
+        await agentOf(isOf("result", key));
+        expect(await send(1, key)).to.deep.equal(await first);
+        expect(await runsOf(key)).to.equal(1);
+    });
+
+    it("says unknown, and never runs the key, when the agent dies between its claim and its run", async () => {
+        await slowLog();
+        const key = uuid();
+        const first = send(0, key, 3_000);
+        await stopBetweenClaimAndRun(key, "SIGKILL");
+        await setLogFaults({ delayMilliseconds: 0 });
+        expect((await first).outcome).to.equal("unknown");
+        expect((await send(1, key, 1_000)).outcome).to.equal("unknown");
+        expect(await runsOf(key)).to.equal(0);
+    });
+
+    it("says unknown, and does not run again, when the agent dies between the run and its answer", async () => {
+        await postJson(`${service()}/_faults`, { answerDelayMilliseconds: 60_000 });
+        const key = uuid();
+        const first = send(0, key, 3_000);
+        await until(async () => await runsOf(key) === 1);
+        await agentNamed(await agentOf(isOf("claim", key))).program.kill();
+        expect((await first).outcome).to.equal("unknown");
+        expect((await send(1, key, 1_000)).outcome).to.equal("unknown");
+        expect(await runsOf(key)).to.equal(1);
+    });
+
+    it("runs nothing when an agent wakes after its request has ended", async () => {
+        await slowLog();
+        const key = uuid();
+        const first = send(0, key, 1_500);
+        const paused = await stopBetweenClaimAndRun(key, "SIGSTOP");
+        expect((await first).outcome).to.equal("unknown");
+        await setLogFaults({ delayMilliseconds: 0 });
+        paused.program.signal("SIGCONT");
+        expect(await agentOf(isOf("release", key))).to.equal(paused.host);
+        expect(await runsOf(key)).to.equal(0);
+        await until(async () => (await send(1, key)).outcome === "complete");
+        expect(await runsOf(key)).to.equal(1);
+    });
+
+    it("refuses a resend whose claim retention has dropped", async () => {
+        const key = uuid();
+        expect((await send(0, key)).outcome).to.equal("complete");
+        await agentOf(isOf("result", key));
+        await setLogFaults({ retentionRecords: 1 });
+        expect((await send(0, uuid())).outcome).to.equal("complete");
+        const hosts = [...deployment.agents.keys()];
+        await Promise.all(hosts.map(host => agentNamed(host).program.kill()));
+        await Promise.all(hosts.map(host => deployment.startAgent(host)));
+        await until(async () => (await send(1, key)).code === "expired-idempotency-key");
+        expect(await runsOf(key)).to.equal(1);
+    });
+}).timeout(60_000);
--- a/tests/quarantine.test.ts
+++ b/tests/quarantine.test.ts
@@ -42,6 +42,26 @@
         expect(allCrashes(fleet)).to.equal(2);
     });
 
+    it("waits until an upstream is free before it runs a suspect there", async () => {
+        fleet.poison.add("poison");
+        const answers = gather([fleet.send("poison", 0)]);
+        await fleet.clock.run(20);
+        [1, 2, 3].forEach(first => void fleet.send(`bystander ${first}`, first));
+        await fleet.clock.run(2_000);
+
+        expect(answers).to.deep.equal(["quarantined"]);
+        expect(fleet.upstreams.flatMap(({ crashes }) => crashes)).to.deep.equal([["poison"], ["poison"]]);
+    });
+
+    it("convicts by the crash on trial alone when the first crash was never told", async () => {
+        fleet.poison.add("poison");
+        const answers = gather([fleet.send("poison", 1, true)]);
+        await fleet.clock.run(2_000);
+
+        expect(answers).to.deep.equal(["quarantined"]);
+        expect(allCrashes(fleet)).to.equal(1);
+    });
+
     it("tries a suspect on one upstream at a time, however many entries send it", async () => {
         fleet.poison.add("poison");
         gather([fleet.send("poison", 0)]);
--- a/tests/support/crashFleet.ts
+++ b/tests/support/crashFleet.ts
@@ -25,8 +25,11 @@
     upstreams: GuardedUpstream[];
     /** Digests that crash whatever runs them. */
     poison: Set<string>;
-    /** Sends a request through an entry with no memory, from upstream `first` on; resolves with its final answer. */
-    send: (digest: string, first: number) => Promise<string>;
+    /**
+     * Sends a request through an entry with no memory, from upstream `first` on; `isSuspect` if the entry has seen it in
+     * flight at a crash. Resolves with its final answer.
+     */
+    send: (digest: string, first: number, isSuspect?: boolean) => Promise<string>;
     stop: () => void;
 };
 
@@ -100,9 +103,9 @@
 
     const upstreams = [...Array(size).keys()].map(index => start(`upstream ${index}`));
 
-    const send = async (digest: string, first: number): Promise<string> => {
+    const send = async (digest: string, first: number, isSuspect = false): Promise<string> => {
         const deadline = clock.now() + deadlineMilliseconds;
-        let alone = false;
+        let alone = isSuspect;
         for (let next = first; clock.now() < deadline; next++) {
             const upstream = upstreams[next % size]!;
             const attempt = attemptOf(digest, deadline - clock.now(), alone);
