--- a/src/coordination/relay.ts
+++ b/src/coordination/relay.ts
@@ -48,7 +48,7 @@
 ) => Promise<Result<RelayExchange, ExchangeFailure>>;
 
 export type RelayOptions = {
-    /** The topics; more may be added to the list later. */
+    /** The topics; one that is added to the list later takes part in the exchanges. */
     topics: readonly RelayTopic[];
     /** Addresses of the peers known now, without this daemon's own. */
     peers: () => readonly string[];
@@ -101,7 +101,8 @@
 /** Takes in a peer's message and answers it. */
 export const answerPeer = (topics: readonly RelayTopic[], { digests, updates }: RelayExchange): RelayExchange => {
     acceptUpdates(topics, updates);
-    return { digests: digestsOf(topics), updates: updatesFor(topics, digests, maximumExchangeBytes) };
+    const asked = topics.filter(({ name }) => Object.hasOwn(digests, name));
+    return { digests: digestsOf(asked), updates: updatesFor(topics, digests, maximumExchangeBytes) };
 };
 
 /** Starts the task that exchanges with a random peer once a second and the one that pushes changes. */
@@ -150,11 +151,12 @@
 
     const runPushes = async (): Promise<void> => {
         const changes = watchChanges(topics, signal);
-        let pushed = digestsOf(topics);
+        const pushedTopics = topics.filter(({ subscribe }) => subscribe !== undefined);
+        let pushed = digestsOf(pushedTopics);
         while (!signal.aborted) {
             await changes.next();
-            const updates = updatesFor(topics, pushed, maximumPushBytes);
-            pushed = digestsOf(topics);
+            const updates = updatesFor(pushedTopics, pushed, maximumPushBytes);
+            pushed = digestsOf(pushedTopics);
             if (Object.keys(updates).length > 0 && !signal.aborted) {
                 await Promise.all(randomPeers(pushedPeers).map(address => push(address, updates)));
             }
--- a/src/programs/commands/zone.ts
+++ b/src/programs/commands/zone.ts
@@ -34,6 +34,7 @@
         args: {
             ...changeArguments,
             name: { type: "positional", required: true, description: "name of the availability zone" },
+            again: { type: "boolean", default: false, description: "append it even if the settings already say so" },
             direct: { type: "string", description: "ip:port,… of daemons to order without the log" },
         },
         run: async ({ args }) => {
@@ -49,7 +50,7 @@
                 return;
             }
             const path = `availabilityZones/${name}`;
-            if ((effective(reading.state, path)["state"] ?? "in") === state) {
+            if ((effective(reading.state, path)["state"] ?? "in") === state && !args.again) {
                 print(`nothing to change: zone "${name}" is ${state} at offset ${reading.state.offset}`);
                 return;
             }
