--- a/src/coordination/demandExchange.ts
+++ b/src/coordination/demandExchange.ts
@@ -57,9 +57,10 @@
     let next = 0;
 
     const ask = async (address: string): Promise<void> => {
-        const answer = await exchange(address, { [topic.name]: topic.digest() }, signal);
+        const message = { digests: { [topic.name]: topic.digest() }, updates: {} };
+        const answer = await exchange(address, message, signal);
         if (answer.isOk()) {
-            topic.accept(answer.value[topic.name]);
+            topic.accept(answer.value.updates[topic.name]);
         }
     };
 
