--- a/src/standin/platformLog.ts
+++ b/src/standin/platformLog.ts
@@ -13,6 +13,8 @@
     /** So many of the next appends take effect and then lose their connection. */
     loseAnswers: number;
     delayMilliseconds: number;
+    /** Wait between reading records and answering with them. */
+    readDelayMilliseconds: number;
     appendsPerSecond: number;
     /** Records that each stream keeps. */
     retentionRecords: number;
@@ -22,6 +24,7 @@
     outage: false,
     loseAnswers: 0,
     delayMilliseconds: 0,
+    readDelayMilliseconds: 0,
     appendsPerSecond: 500,
     retentionRecords: 100_000,
 };
@@ -49,7 +52,7 @@
     addRoutes(app: StandinApp): void {
         app.post("/log/:stream/records", async context => {
             const text = await context.req.text();
-            await this.delay();
+            await this.pause(this.faults.delayMilliseconds);
             if (this.faults.outage) {
                 this.metrics.refusedAppends += 1;
                 return context.json({ error: "the log is not available" }, 503);
@@ -72,7 +75,7 @@
             const from = Number(context.req.query("from") ?? 0);
             const limit = Number(context.req.query("limit") ?? defaultReadLimit);
             const waitMilliseconds = Number(context.req.query("waitMilliseconds") ?? 0);
-            await this.delay();
+            await this.pause(this.faults.delayMilliseconds);
             if (this.faults.outage) {
                 return context.json({ error: "the log is not available" }, 503);
             }
@@ -85,6 +88,7 @@
                 }
                 slice = stream.read(from, limit);
             }
+            await this.pause(this.faults.readDelayMilliseconds);
             const body = JSON.stringify(slice);
             this.metrics.reads += 1;
             this.metrics.bytesOut += body.length;
@@ -115,9 +119,9 @@
         return created;
     }
 
-    private async delay(): Promise<void> {
-        if (this.faults.delayMilliseconds > 0) {
-            await this.clock.sleep(this.faults.delayMilliseconds, this.signal);
+    private async pause(milliseconds: number): Promise<void> {
+        if (milliseconds > 0) {
+            await this.clock.sleep(milliseconds, this.signal);
         }
     }
 
--- a/tests/atMostOnceProcesses.test.ts
+++ b/tests/atMostOnceProcesses.test.ts
@@ -25,17 +25,15 @@
 describe("at most once, as separate processes", () => {
     let deployment: Deployment;
 
-    const start = async (): Promise<void> => {
+    before(async () => {
         deployment = await startDeployment({
             entries: [{ host: "entry-1", availabilityZone: "medina" }, { host: "entry-2", availabilityZone: "medina" }],
             services: [{ service: "dispatch", availabilityZone: "medina", agents: 2 }],
         });
         await serving();
-    };
-
-    beforeEach(start);
+    });
 
-    afterEach(async () => {
+    after(async () => {
         await deployment.stop();
         killAllPrograms();
     });
@@ -90,31 +88,24 @@
 
     const agentNamed = (host: string): Daemon => deployment.agents.get(host)!;
 
-    /** The agent that holds the claim of `key`, stopped while the log is too slow for it to read the claim back. */
-    const stopBetweenClaimAndRun = async (key: string, signal: "SIGKILL" | "SIGSTOP"): Promise<Daemon> => {
+    const appends = async (): Promise<number> =>
+        (await getJson<{ appends: number; }>(`${deployment.platform.url}/metrics`)).appends;
+
+    /** Sends `key`, and stops the agent that claimed it before the agent has read its claim back. */
+    const stopBetweenClaimAndRun = async (
+        key: string,
+        milliseconds: number,
+    ): Promise<{ first: Promise<Answer>; holder: Daemon; }> => {
+        await setLogFaults({ readDelayMilliseconds: 1_000 });
+        const before = await appends();
+        const first = send(0, key, milliseconds);
+        await until(async () => await appends() > before);
         const agents = [...deployment.agents.values()];
-        const holders = agents.map(agent => agent.host);
-        await until(async () => {
-            const { appends } = await getJson<{ log: { appends: number; }; }>(`${deployment.platform.url}/metrics`)
-                .then(({ log }) => log);
-            return appends > appendsBefore;
-        });
         agents.forEach(agent => agent.program.signal("SIGSTOP"));
+        await setLogFaults({ readDelayMilliseconds: 0 });
         const holder = agentNamed(await agentOf(isOf("claim", key)));
         agents.filter(agent => agent !== holder).forEach(agent => agent.program.signal("SIGCONT"));
-        if (signal === "SIGKILL") {
-            await holder.program.kill();
-        }
-        expect(holders).to.include(holder.host);
-        return holder;
-    };
-
-    let appendsBefore = 0;
-
-    const slowLog = async (): Promise<void> => {
-        const { log } = await getJson<{ log: { appends: number; }; }>(`${deployment.platform.url}/metrics`);
-        appendsBefore = log.appends;
-        await setLogFaults({ delayMilliseconds: 400 });
+        return { first, holder };
     };
 
     it("runs a key once that two entries send to two agents at once", async () => {
@@ -156,37 +147,37 @@
         await agentOf(isOf("result", key));
         expect(await send(1, key)).to.deep.equal(await first);
         expect(await runsOf(key)).to.equal(1);
+        await postJson(`${service()}/_faults`, { answerDelayMilliseconds: 0 });
     });
 
     it("says unknown, and never runs the key, when the agent dies between its claim and its run", async () => {
-        await slowLog();
         const key = uuid();
-        const first = send(0, key, 3_000);
-        await stopBetweenClaimAndRun(key, "SIGKILL");
-        await setLogFaults({ delayMilliseconds: 0 });
+        const { first, holder } = await stopBetweenClaimAndRun(key, 1_500);
+        await holder.program.kill();
         expect((await first).outcome).to.equal("unknown");
-        expect((await send(1, key, 1_000)).outcome).to.equal("unknown");
+        expect((await send(1, key, 500)).outcome).to.equal("unknown");
         expect(await runsOf(key)).to.equal(0);
+        await deployment.startAgent(holder.host);
     });
 
     it("says unknown, and does not run again, when the agent dies between the run and its answer", async () => {
         await postJson(`${service()}/_faults`, { answerDelayMilliseconds: 60_000 });
         const key = uuid();
-        const first = send(0, key, 3_000);
+        const first = send(0, key, 1_500);
         await until(async () => await runsOf(key) === 1);
-        await agentNamed(await agentOf(isOf("claim", key))).program.kill();
+        const holder = agentNamed(await agentOf(isOf("claim", key)));
+        await holder.program.kill();
         expect((await first).outcome).to.equal("unknown");
-        expect((await send(1, key, 1_000)).outcome).to.equal("unknown");
+        expect((await send(1, key, 500)).outcome).to.equal("unknown");
         expect(await runsOf(key)).to.equal(1);
+        await postJson(`${service()}/_faults`, { answerDelayMilliseconds: 0 });
+        await deployment.startAgent(holder.host);
     });
 
     it("runs nothing when an agent wakes after its request has ended", async () => {
-        await slowLog();
         const key = uuid();
-        const first = send(0, key, 1_500);
-        const paused = await stopBetweenClaimAndRun(key, "SIGSTOP");
+        const { first, holder: paused } = await stopBetweenClaimAndRun(key, 1_500);
         expect((await first).outcome).to.equal("unknown");
-        await setLogFaults({ delayMilliseconds: 0 });
         paused.program.signal("SIGCONT");
         expect(await agentOf(isOf("release", key))).to.equal(paused.host);
         expect(await runsOf(key)).to.equal(0);
--- /dev/null
+++ b/tests/quarantineProcesses.test.ts
@@ -0,0 +1,44 @@
+/**
+ * A request that crashes real upstream processes, sent again through both entries.
+ */
+import { expect } from "chai";
+import { expectedToken } from "../src/standin/tokens.js";
+import { complete, type Deployment, getJson, startDeployment } from "./support/deployment.js";
+import { killAllPrograms } from "./support/processes.js";
+
+const wholeText = (prompt: string, tokens: number): string =>
+    [...Array(tokens).keys()].map(index => expectedToken(prompt, index)).join("");
+
+describe("quarantine, as separate processes", () => {
+    let deployment: Deployment;
+
+    before(async () => {
+        deployment = await startDeployment({
+            entries: [{ host: "entry-1", availabilityZone: "medina" }, { host: "entry-2", availabilityZone: "medina" }],
+            groups: [{ group: "council", availabilityZone: "medina", ranks: 4 }],
+        });
+    });
+
+    after(async () => {
+        await deployment.stop();
+        killAllPrograms();
+    });
+
+    it("costs two upstreams at most; bystanders get their whole answers", async () => {
+        const [one, two] = [deployment.entries[0]!, deployment.entries[1]!];
+        const prompts = ["Summarise the budget", "Explain the zoning data", "Draft a notice", "Check the recipe"];
+        const bystanders = prompts.map((prompt, index) => complete(index % 2 === 0 ? one : two, prompt, 40));
+        const poison = await complete(one, "crash-upstream now", 40);
+        expect(poison.outcome).to.not.equal("complete");
+        for (const entry of [two, one, two]) {
+            const resend = await complete(entry, "crash-upstream now", 40);
+            expect([resend.status, resend.outcome]).to.deep.equal([422, "not-run"]);
+        }
+        const answers = await Promise.all(bystanders);
+        expect(answers.map(({ text }) => text)).to.deep.equal(prompts.map(prompt => wholeText(prompt, 40)));
+
+        const engine = `http://${deployment.engines.get("council")!.addresses[0]!}`;
+        const { ranks } = await getJson<{ ranks: { crashes: number; }[]; }>(`${engine}/record`);
+        expect(ranks.reduce((sum, { crashes }) => sum + crashes, 0)).to.equal(2);
+    }).timeout(30_000);
+});
