--- a/src/standin/rankMap.ts
+++ b/src/standin/rankMap.ts
@@ -11,8 +11,6 @@
 
 export type RankMapRefusal = "conflict" | "not-loaded";
 
-const keptReleases = 4;
-
 export class RankMap {
     private readonly rank: number;
     private formation: number;
@@ -58,7 +56,7 @@
 
     /** Loads weights into the one spare place, beside those in use and those of an open promise. */
     load(plan: string): void {
-        const used = [...this.releases.slice(-2), ...this.promises.slice(-1)].map(entry => entry.plan);
+        const used = [...this.releases, ...this.promises.slice(-1)].map(entry => entry.plan);
         this.loaded = [...this.loaded.filter(kept => used.includes(kept) && kept !== plan), plan];
     }
 
@@ -91,7 +89,9 @@
             return "conflict";
         }
         if (this.released < order.commit) {
-            this.releases = [...this.releases, { ...open, lastStep: order.lastStep }].slice(-keptReleases);
+            const present = this.releases.findLastIndex(({ lastStep }) => this.nextStep > lastStep);
+            const needed = this.releases.slice(Math.max(0, present));
+            this.releases = [...needed, { ...open, lastStep: order.lastStep }];
             this.promises = this.promises.filter(made => made.commit >= order.commit);
         }
         return undefined;
