--- a/src/programs/bench.ts
+++ b/src/programs/bench.ts
@@ -15,6 +15,7 @@
 import { seededRandom } from "../bench/randomNumbers.js";
 import { identifyRun, meetsTarget, publishReport } from "../bench/report.js";
 import { settingsExperiment } from "../bench/settingsExperiment.js";
+import { runSkewExperiments } from "../bench/skewCommand.js";
 import { zoneExperiment } from "../bench/zoneExperiment.js";
 
 const sharedArguments = {
@@ -90,10 +91,37 @@
     },
 });
 
+const skew = defineCommand({
+    meta: { name: "skew", description: "placement of experts on seeded traces, beside two baselines" },
+    args: {
+        "seed": sharedArguments.seed,
+        "seconds": { type: "string", default: "900", description: "length of each trace" },
+        "layers": { type: "string", default: "6", description: "layers of the traces" },
+        "tokens-per-step": { type: "string", default: "16384" },
+        "output": sharedArguments.output,
+        "compare": sharedArguments.compare,
+        "commit": sharedArguments.commit,
+        "name": sharedArguments.name,
+    },
+    run: async ({ args }) => {
+        const options = {
+            seed: Number(args.seed),
+            seconds: Number(args.seconds),
+            layers: Number(args.layers),
+            tokensPerStep: Number(args["tokens-per-step"]),
+        };
+        const run = identifyRun(args.name ?? "skew", options.seed, args.commit, options);
+        const { rows, charts } = runSkewExperiments(options);
+        await publishReport({ run, rows, charts }, args.output, args.compare);
+        process.exitCode = rows.every(meetsTarget) ? 0 : missedTargetStatus;
+    },
+});
+
 const main = defineCommand({
     meta: { name: "cyclamengap-bench", description: "load and experiments on a running deployment" },
     subCommands: {
         load: load as CommandDef,
+        skew: skew as CommandDef,
         "zone": commandFor("zone", "an availability zone leaves and returns under load", zoneExperiment),
         "cold-start": commandFor("cold-start", "cold engines with and without the gate", coldStartExperiment),
         "claims": commandFor("claims", "non-idempotent calls with lost answers and resends", claimsExperiment),
