--- a/src/transport/entryDaemon.ts
+++ b/src/transport/entryDaemon.ts
@@ -3,22 +3,23 @@
  */
 import { Hono } from "hono";
 import { v7 as uuid } from "uuid";
-import type { AttemptEvent, TaskTools } from "../coordination/completionTask.js";
-import { runCompletion } from "../coordination/completionTask.js";
+import type { AttemptEvent } from "../coordination/completionTask.js";
 import { createEntryRouting } from "../coordination/entryRouting.js";
+import { createEntryTasks } from "../coordination/entryTasks.js";
 import type { Metrics } from "../coordination/metrics.js";
 import { createRetryBudget } from "../coordination/retryBudget.js";
-import { runServiceCall } from "../coordination/serviceTask.js";
 import { createUpstreamDirectory } from "../coordination/upstreamDirectory.js";
 import { startUpstreamWatch } from "../coordination/upstreamWatch.js";
 import type { EntryConfig } from "../protocol/daemonConfig.js";
 import type { SettingsReader } from "../protocol/settingsReader.js";
+import { startAccountLimiter } from "./accountLimiter.js";
 import { createAttemptClient } from "./attemptClient.js";
 import { type AnswerEvent, createCallerApplication } from "./callerServer.js";
 import { startDaemonCore, type Tokens } from "./daemonCore.js";
 import { listen, type NodeBindings } from "./httpServer.js";
 import { createLoadProbe } from "./loadProbe.js";
 import type { Logger } from "./logger.js";
+import { startQuarantineKeeper } from "./quarantineStream.js";
 import { systemClock } from "./systemClock.js";
 
 export type EntryDaemon = {
@@ -48,6 +49,8 @@
     log("attempt", event);
 };
 
+/** A stopping entry serves on for so long, while its health check tells the platform's balancer to pass it over. */
+const stopNoticeMilliseconds = 2_000;
 const defaultRetryBudgetRatio = 0.1;
 const defaultQueueLimit = 256;
 
@@ -64,8 +67,10 @@
 /** Starts an entry; it serves as soon as it listens, with the settings that it has read so far. */
 export const startEntry = async (config: EntryConfig, tokens: Tokens, logger: Logger): Promise<EntryDaemon> => {
     const stopping = new AbortController();
-    const core = startDaemonCore(config, tokens, stopping.signal);
+    const core = startDaemonCore(config, tokens, logger, stopping.signal);
     const { settings, hostList, metrics } = core;
+    // An entry runs nothing itself, but it carries crash reports from agent to agent.
+    core.addTopic(startQuarantineKeeper(config, stopping.signal).topic);
     const directory = createUpstreamDirectory({
         clock: systemClock,
         host: config.host,
@@ -83,31 +88,35 @@
         queueLimit: target => queueLimit(settings, target),
     });
     const budget = createRetryBudget(systemClock, () => settings.root()?.retryBudgetRatio ?? defaultRetryBudgetRatio);
-    const tools: TaskTools = {
-        chooser: routing,
-        attempts: createAttemptClient(tokens.peerToken),
-        clock: systemClock,
-        newId: uuid,
-        takeRetry: budget.takeRetry,
-        onAttempt: recordAttempt(metrics, logger),
-    };
+    const limiter = startAccountLimiter(config, core, tokens.peerToken, stopping.signal);
+    const tasks = createEntryTasks({
+        tools: {
+            chooser: routing,
+            attempts: createAttemptClient(tokens.peerToken),
+            clock: systemClock,
+            newId: uuid,
+            onAttempt: recordAttempt(metrics, logger),
+        },
+        accounts: limiter.limits,
+        budget,
+    });
+    let isStopping = false;
     const callers = createCallerApplication({
         host: config.host,
         settings,
         now: systemClock.now,
         newId: uuid,
-        complete: (work, limits, onToken, gone) => {
-            budget.recordRequest();
-            return runCompletion(tools, work, limits, onToken, gone);
-        },
-        callService: (work, limits, gone) => {
-            budget.recordRequest();
-            return runServiceCall(tools, work, limits, gone);
-        },
+        isStopping: () => isStopping,
+        ...tasks,
         onAnswer: recordAnswer(metrics, logger),
     });
     const control = new Hono<NodeBindings>();
-    core.addRoutes(control, () => ({ role: "entry", upstreams: directory.views(), queues: routing.queueLengths() }));
+    core.addRoutes(control, () => ({
+        role: "entry",
+        upstreams: directory.views(),
+        queues: routing.queueLengths(),
+        accountShares: limiter.shares.records(),
+    }));
     const callerListener = await listen(callers, config.listen);
     const controlListener = await listen(control, config.control);
     core.startRelay(controlListener.address);
@@ -115,6 +124,8 @@
         address: callerListener.address,
         control: controlListener.address,
         stop: async () => {
+            isStopping = true;
+            await systemClock.sleep(stopNoticeMilliseconds, stopping.signal);
             await callerListener.close();
             stopping.abort();
             await controlListener.close();
