--- a/src/programs/standin.ts
+++ b/src/programs/standin.ts
@@ -63,6 +63,8 @@
         "starts-warm": { type: "boolean", default: false },
         "expert-maps": { type: "boolean", default: false, description: "ranks switch expert maps by promises" },
         "map-load-milliseconds": { type: "string", default: "0" },
+        "layers": { type: "string", default: "1" },
+        "experts": { type: "string", default: "16", description: "experts of one layer" },
     },
     run: async ({ args }) => {
         const { addresses } = await startEngine({
@@ -78,6 +80,7 @@
             startsWarm: args["starts-warm"],
             expertMaps: args["expert-maps"],
             mapLoadMilliseconds: Number(args["map-load-milliseconds"]),
+            expertShape: { layers: Number(args.layers), experts: Number(args.experts) },
             engineId: newId(),
             clock,
             signal: stopSignal(),
--- /dev/null
+++ b/src/protocol/groupRecords.ts
@@ -0,0 +1,72 @@
+/**
+ * Checks of what agents of a group write to their stream and tell each other.
+ */
+import { z } from "zod";
+import type { GroupRecord } from "../state/groupFold.js";
+
+/** Name of the stream of `group` on the platform's log. */
+export const groupStreamName = (group: string): string => `groups/${group}`;
+
+const slot = z.object({ expert: z.int().min(0), share: z.number().min(0).max(1) });
+
+export const expertMapSchema = z.object({
+    experts: z.int().min(1),
+    slotsPerRank: z.int().min(1),
+    layers: z.array(z.array(z.array(slot))),
+});
+
+const coordinator = z.object({ rank: z.int().min(0), incarnation: z.string(), fence: z.int() });
+
+const mapCommit = z.object({ commit: z.int(), plan: z.string(), map: expertMapSchema });
+
+const groupRecord = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("coordinate"), rank: z.int().min(0), incarnation: z.string() }),
+    z.object({ kind: z.literal("commit"), fence: z.int(), plan: z.string(), map: expertMapSchema }),
+    z.object({
+        kind: z.literal("snapshot"),
+        state: z.object({ offset: z.int(), coordinator: coordinator.optional(), commit: mapCommit.optional() }),
+    }),
+]);
+
+/** Reads a record's body, or gives undefined for one that is not ours. */
+export const decodeGroupRecord = (body: unknown): GroupRecord | undefined =>
+    groupRecord.safeParse(body).data as GroupRecord | undefined;
+
+const mapPromise = z.object({
+    rank: z.int().min(0),
+    commit: z.int(),
+    formation: z.int(),
+    last: z.int(),
+    previous: z.int(),
+});
+
+/** What the engine of a rank answers about its map. */
+export const rankMapStatusSchema = z.object({
+    rank: z.int().min(0),
+    formation: z.int(),
+    step: z.int(),
+    released: z.int(),
+    promises: z.array(mapPromise),
+    loaded: z.array(z.string()),
+    fence: z.int(),
+});
+
+export const rankNewsSchema = z.object({
+    rank: z.int().min(0),
+    incarnation: z.string(),
+    formation: z.int(),
+    released: z.int(),
+    promises: z.array(mapPromise),
+    newestCommit: z.int(),
+    commit: mapCommit.optional(),
+});
+
+export const prepareOrderSchema = z.object({ plan: z.string(), map: expertMapSchema });
+
+export const expertLoadReportSchema = z.object({
+    rank: z.int().min(0),
+    interval: z.int(),
+    counts: z.array(z.array(z.number().min(0))),
+    processedTokens: z.number().min(0),
+    busyMilliseconds: z.number().min(0),
+});
--- a/src/protocol/settingsSchema.ts
+++ b/src/protocol/settingsSchema.ts
@@ -58,6 +58,10 @@
         stepTimeBoundMilliseconds: z.number().positive().default(75),
         /** Weights of one expert of one layer. */
         expertBytes: positiveCount.default(1_048_576),
+        /** Whether the engines switch expert maps by promises; without, the system leaves their maps alone. */
+        expertMaps: z.boolean().default(false),
+        /** Rate at which the weight store serves the whole group. */
+        weightStoreBytesPerSecond: rate.default(2e9),
     },
     service: {
         ...sharedFields,
--- a/src/standin/engineRoutes.ts
+++ b/src/standin/engineRoutes.ts
@@ -2,6 +2,7 @@
 import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
 import type { Clock } from "../state/types.js";
 import type { RankFaults } from "./engineRank.js";
+import { expertLoadReport } from "./expertCounts.js";
 import { cutConnection, type StandinApp } from "./httpServer.js";
 import type { EngineGroup, RankSeat } from "./modelEngine.js";
 import type { OrderRequest } from "./orders.js";
@@ -45,6 +46,10 @@
     });
     app.get("/load", context => context.json(loads.at(clock.now() - rank.faults.loadLagMilliseconds) ?? {}));
     app.get("/expert-map", context => context.json(map.status(orders.highestFence())));
+    app.get(
+        "/expert-load",
+        context => context.json(expertLoadReport(rank.rank, rank.faults.speed, group.expertShape, clock.now())),
+    );
     app.post("/orders", async context => {
         const answer = await orders.execute(await context.req.json<OrderRequest>());
         return context.json(answer.body, answer.status);
--- a/src/standin/modelEngine.ts
+++ b/src/standin/modelEngine.ts
@@ -27,6 +27,8 @@
     startsWarm: boolean;
     /** Whether the ranks switch expert maps by promises; without, all steps run on map 0. */
     expertMaps?: boolean;
+    /** Sizes of the expert load reports. */
+    expertShape?: { layers: number; experts: number; };
     /** How long a rank takes to load the weights of a planned map. */
     mapLoadMilliseconds?: number;
     /** Name in incarnations; a new process gives itself a new one. */
@@ -54,10 +56,12 @@
     /** Time for which steps waited for promises. */
     heldMilliseconds = 0;
     steps: StepRecord[] = [];
+    readonly expertShape: { layers: number; experts: number; };
     private readonly options: EngineOptions;
 
     constructor(options: EngineOptions) {
         this.options = options;
+        this.expertShape = options.expertShape ?? { layers: 1, experts: 16 };
         // Formation numbers must not repeat, also when the whole group starts anew.
         this.formation = options.expertMaps === true ? Math.max(1, Math.floor(options.clock.now())) : 1;
         this.seats = [...Array(options.ranks).keys()].map(rank => this.newSeat(rank));
--- a/src/transport/agentDaemon.ts
+++ b/src/transport/agentDaemon.ts
@@ -25,6 +25,7 @@
 import { createLogClient } from "./logClient.js";
 import type { Logger } from "./logger.js";
 import { startQuarantineKeeper } from "./quarantineStream.js";
+import { startRankMaps } from "./rankMaps.js";
 import { createServiceClient } from "./serviceClient.js";
 import { systemClock } from "./systemClock.js";
 
@@ -132,11 +133,16 @@
     const quarantine = startQuarantineKeeper(config, stopping.signal);
     core.addTopic(quarantine.topic);
     addAttemptRoutes(application, config, gate, keeper, quarantine, stopping.signal);
+    const { upstream } = config;
+    const maps = upstream.kind === "group"
+        ? startRankMaps(application, config, upstream, core, tokens, stopping.signal)
+        : undefined;
     const describe = () => ({
         role: "agent",
         upstream: config.upstream,
         load: gate.load(),
         claims: keeper?.state(),
+        expertMaps: maps?.describe(),
         quarantine: quarantine.suspects(),
     });
     core.addRoutes(application, describe);
--- /dev/null
+++ b/src/transport/groupPeers.ts
@@ -0,0 +1,104 @@
+/**
+ * The agents of one group among themselves: serves the group's router and calls that of the other ranks.
+ */
+import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
+import type { Hono } from "hono";
+import { err, ok, type Result } from "neverthrow";
+import type { ExpertLoadReport } from "../coordination/expertLoad.js";
+import type { PeerFailure, RankPeers } from "../coordination/mapParts.js";
+import { groupEndpoint } from "../protocol/controlPaths.js";
+import { type GroupContext, type GroupRouter, groupRouter } from "../protocol/groupRouter.js";
+import type { HostRecord } from "../state/types.js";
+import { boundSignal } from "./boundedSignal.js";
+import { requireToken } from "./daemonRoutes.js";
+import type { NodeBindings } from "./httpServer.js";
+
+const timeoutMilliseconds = 1_000;
+const prepareTimeoutMilliseconds = 300_000;
+
+/** Adds the procedures for agents of the group; a request without `peerToken` gets status 401. */
+export const addGroupRoutes = (application: Hono<NodeBindings>, context: GroupContext, peerToken: string): void => {
+    application.use(`${groupEndpoint}/*`, requireToken(peerToken));
+    application.all(`${groupEndpoint}/*`, ({ req }) =>
+        fetchRequestHandler({
+            endpoint: groupEndpoint,
+            req: req.raw,
+            router: groupRouter,
+            createContext: () => context,
+        }));
+};
+
+export type GroupPeers = RankPeers & {
+    /** The load report of the rank's engine; undefined when it can't be had. */
+    expertLoad: (rank: number, signal: AbortSignal) => Promise<ExpertLoadReport | undefined>;
+};
+
+/** Builds the calls to the agents of `group`, found by the host list. */
+export const createGroupPeers = (group: string, hosts: () => HostRecord[], peerToken: string): GroupPeers => {
+    const addressOf = (rank: number): string | undefined =>
+        hosts().find(({ serves }) => serves?.kind === "group" && serves.group === group && serves.rank === rank)
+            ?.address;
+
+    const call = async <Value>(
+        rank: number,
+        timeout: number,
+        signal: AbortSignal,
+        action: (client: TRPCClient<GroupRouter>, signal: AbortSignal) => Promise<Value>,
+    ): Promise<Result<Value, PeerFailure>> => {
+        const address = addressOf(rank);
+        if (address === undefined) {
+            return err({ kind: "unreachable", reason: `rank ${rank} of group "${group}" is not in the host list` });
+        }
+        const url = `http://${address}${groupEndpoint}`;
+        const headers = { authorization: `Bearer ${peerToken}` };
+        const bounded = boundSignal(signal, timeout);
+        try {
+            const client = createTRPCClient<GroupRouter>({ links: [httpLink({ url, headers })] });
+            return ok(await action(client, bounded.signal));
+        }
+        catch (error) {
+            const reason = error instanceof Error ? error.message : String(error);
+            return err({ kind: "unreachable", reason: `rank ${rank} at "${address}": ${reason}` });
+        }
+        finally {
+            bounded.release();
+        }
+    };
+
+    return {
+        exchange: async (rank, news, signal) => {
+            const told = await call(
+                rank,
+                timeoutMilliseconds,
+                signal,
+                (client, until) => client.exchange.mutate(news, { signal: until }),
+            );
+            return told.andThen(theirs =>
+                theirs === undefined
+                    ? err({ kind: "refused" as const, reason: `rank ${rank} does not switch expert maps` })
+                    : ok(theirs)
+            );
+        },
+        prepare: async (rank, fence, order, signal) => {
+            const prepared = await call(
+                rank,
+                prepareTimeoutMilliseconds,
+                signal,
+                (client, until) => client.prepare.mutate({ fence, order }, { signal: until }),
+            );
+            return prepared.andThen(({ refused }) =>
+                refused === undefined ? ok() : err({ kind: "refused" as const, reason: refused })
+            );
+        },
+        expertLoad: async (rank, signal) => {
+            const load = await call(
+                rank,
+                timeoutMilliseconds,
+                signal,
+                (client, until) => client.expertLoad.query(undefined, { signal: until }),
+            );
+            return load.unwrapOr(undefined);
+        },
+    };
+};
--- /dev/null
+++ b/src/transport/mapEngineClient.ts
@@ -0,0 +1,91 @@
+/**
+ * Orders about expert maps to the engine beside an agent, over HTTP.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { request } from "undici";
+import type { z } from "zod";
+import type { ExpertLoadReport } from "../coordination/expertLoad.js";
+import type { EngineOrderFailure, RankEngine } from "../coordination/mapParts.js";
+import { expertLoadReportSchema, rankMapStatusSchema } from "../protocol/groupRecords.js";
+import type { RankMapStatus } from "../state/mapPromise.js";
+import { boundSignal } from "./boundedSignal.js";
+
+const timeoutMilliseconds = 1_000;
+/** Loading weights takes as long as the weight store needs. */
+const prepareTimeoutMilliseconds = 300_000;
+const okStatus = 200;
+const staleFenceStatus = 409;
+
+type EngineAnswer = { status?: unknown; refused?: EngineOrderFailure["kind"]; error?: string; };
+
+const unreachable = (reason: string): EngineOrderFailure => ({ kind: "unreachable", reason });
+
+const call = async (
+    url: string,
+    body: object | undefined,
+    timeout: number,
+    signal: AbortSignal,
+): Promise<Result<{ code: number; answer: unknown; }, EngineOrderFailure>> => {
+    const bounded = boundSignal(signal, timeout);
+    try {
+        const response = await request(url, {
+            method: body === undefined ? "GET" : "POST",
+            headers: { "content-type": "application/json" },
+            ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+            signal: bounded.signal,
+        });
+        return ok({ code: response.statusCode, answer: await response.body.json() });
+    }
+    catch (error) {
+        return err(unreachable(error instanceof Error ? error.message : String(error)));
+    }
+    finally {
+        bounded.release();
+    }
+};
+
+const checked = <Schema extends z.ZodType>(
+    schema: Schema,
+    value: unknown,
+): Result<z.infer<Schema>, EngineOrderFailure> => {
+    const parsed = schema.safeParse(value);
+    return parsed.success ? ok(parsed.data) : err(unreachable("the engine's answer is not valid"));
+};
+
+const statusOf = ({ code, answer }: { code: number; answer: unknown; }): Result<RankMapStatus, EngineOrderFailure> => {
+    const { status, refused, error } = answer as EngineAnswer;
+    if (code !== okStatus) {
+        return err({
+            kind: code === staleFenceStatus ? "stale-fence" : "unreachable",
+            reason: error ?? `status ${code}`,
+        });
+    }
+    return refused === undefined ? checked(rankMapStatusSchema, status) : err({ kind: refused, reason: refused });
+};
+
+/** Builds the client of the engine at `address` (`ip:port`). */
+export const createMapEngineClient = (address: string): RankEngine => {
+    const order = async (
+        kind: string,
+        fence: number,
+        fields: object,
+        signal: AbortSignal,
+        timeout = timeoutMilliseconds,
+    ): Promise<Result<RankMapStatus, EngineOrderFailure>> =>
+        (await call(`http://${address}/orders`, { fence, order: { kind, ...fields } }, timeout, signal))
+            .andThen(statusOf);
+    return {
+        status: async signal =>
+            (await call(`http://${address}/expert-map`, undefined, timeoutMilliseconds, signal))
+                .andThen(({ answer }) => checked(rankMapStatusSchema, answer)),
+        prepare: (fence, fields, signal) => order("prepare-map", fence, fields, signal, prepareTimeoutMilliseconds),
+        promise: (fence, fields, signal) => order("promise-map", fence, fields, signal),
+        release: (fence, fields, signal) => order("release-map", fence, fields, signal),
+    };
+};
+
+/** Reads the engine's last load report. */
+export const readExpertLoad = async (address: string, signal: AbortSignal): Promise<ExpertLoadReport | undefined> => {
+    const answer = await call(`http://${address}/expert-load`, undefined, timeoutMilliseconds, signal);
+    return answer.andThen(({ answer: report }) => checked(expertLoadReportSchema, report)).unwrapOr(undefined);
+};
--- /dev/null
+++ b/src/transport/rankMaps.ts
@@ -0,0 +1,117 @@
+/**
+ * The expert maps of one rank in its agent: follows the group's stream, switches maps with the other agents, and plans
+ * and commits them while this agent coordinates the group.
+ */
+import type { Hono } from "hono";
+import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
+import { emptyEstimate, type ExpertLoadReport, groupLoadOf, includeReports } from "../coordination/expertLoad.js";
+import { startGroupLog } from "../coordination/groupLog.js";
+import { runMapCoordinator } from "../coordination/mapCoordinator.js";
+import { defaultLeadSteps, type MapSwitch, startMapSwitch } from "../coordination/mapSwitch.js";
+import { defaultPlacementSettings, planPlacement } from "../coordination/placement.js";
+import type { AgentConfig } from "../protocol/daemonConfig.js";
+import { decodeGroupRecord, groupStreamName } from "../protocol/groupRecords.js";
+import type { GroupSettings } from "../protocol/settingsSchema.js";
+import { type ExpertMap, stepSkew, uniformMap } from "../state/expertMap.js";
+import type { GroupRecord } from "../state/groupFold.js";
+import type { DaemonCore, Tokens } from "./daemonCore.js";
+import { addGroupRoutes, createGroupPeers, type GroupPeers } from "./groupPeers.js";
+import type { NodeBindings } from "./httpServer.js";
+import { createLogClient } from "./logClient.js";
+import { createMapEngineClient, readExpertLoad } from "./mapEngineClient.js";
+import { systemClock } from "./systemClock.js";
+
+const settingsPollMilliseconds = 200;
+const planIntervalMilliseconds = 10_000;
+const urgentSkew = 1.15;
+
+export type GroupUpstream = Extract<AgentConfig["upstream"], { kind: "group"; }>;
+
+export type RankMaps = {
+    /** What the dump shows. */
+    describe: () => unknown;
+};
+
+/** Plans on the ranks' load reports: at intervals, and at once when the predicted skew is high. */
+const createPlanner = (settings: () => GroupSettings | undefined, peers: GroupPeers, signal: AbortSignal) => {
+    let estimate = emptyEstimate(0);
+    let plannedAt = -Infinity;
+    return async (present: ExpertMap | undefined): Promise<ExpertMap | undefined> => {
+        const group = settings();
+        if (group === undefined) {
+            return undefined;
+        }
+        const { ranks, layers, expertsPerLayer: experts, slotsPerRank } = group;
+        const asked = [...Array(ranks).keys()].map(rank => peers.expertLoad(rank, signal));
+        const reports = (await Promise.all(asked)).filter((report): report is ExpertLoadReport => report !== undefined);
+        estimate = includeReports(estimate.rates.length === ranks ? estimate : emptyEstimate(ranks), reports);
+        if (estimate.popularity.length !== layers) {
+            return undefined;
+        }
+        const map = present ?? uniformMap({ ranks, layers, experts, slotsPerRank });
+        const load = groupLoadOf(estimate);
+        const now = systemClock.now();
+        if (now - plannedAt < planIntervalMilliseconds && stepSkew(map, load) < urgentSkew) {
+            return undefined;
+        }
+        plannedAt = now;
+        const plan = planPlacement(map, load, {
+            ...defaultPlacementSettings,
+            bytesPerExpert: group.expertBytes,
+            storeBytesPerSecond: group.weightStoreBytesPerSecond,
+        });
+        return plan.kind === "keep" ? undefined : plan.map;
+    };
+};
+
+/** Starts what the settings call for: nothing, unless the group's engines switch expert maps by promises. */
+export const startRankMaps = (
+    application: Hono<NodeBindings>,
+    config: AgentConfig,
+    upstream: GroupUpstream,
+    core: DaemonCore,
+    tokens: Tokens,
+    signal: AbortSignal,
+): RankMaps => {
+    const { group, rank, address } = upstream;
+    const settings = (): GroupSettings | undefined => core.settings.group(group);
+    const remote = createGroupPeers(group, core.hostList.hosts, tokens.peerToken);
+    const ownLoad = (until: AbortSignal) => readExpertLoad(address, until);
+    const peers: GroupPeers = {
+        ...remote,
+        expertLoad: (other, until) => other === rank ? ownLoad(until) : remote.expertLoad(other, until),
+    };
+    let mapSwitch: MapSwitch | undefined;
+    // Every task of every peer listens to the signal.
+    setMaxListeners(0, signal);
+    addGroupRoutes(application, { mapSwitch: () => mapSwitch, expertLoad: ownLoad, signal }, tokens.peerToken);
+
+    const start = (ranks: number): void => {
+        const stream = createLogClient<GroupRecord>({ platform: config.platform, stream: groupStreamName(group) });
+        const log = startGroupLog({ stream, decode: decodeGroupRecord, clock: systemClock, signal });
+        const incarnation = `${config.host}/${randomUUID()}`;
+        const parts = { rank, ranks, incarnation, peers, log, clock: systemClock, signal };
+        const engine = createMapEngineClient(address);
+        mapSwitch = startMapSwitch({ ...parts, engine, leadSteps: defaultLeadSteps });
+        const plan = createPlanner(settings, peers, signal);
+        void runMapCoordinator({ ...parts, mapSwitch, stream, plan, newId: randomUUID });
+    };
+
+    const run = async (): Promise<void> => {
+        while (!signal.aborted) {
+            const known = settings();
+            if (known?.expertMaps === true) {
+                start(known.ranks);
+                return;
+            }
+            await systemClock.sleep(settingsPollMilliseconds, signal);
+        }
+    };
+    void run();
+
+    return {
+        describe: () =>
+            mapSwitch && { ...mapSwitch.news(), heard: [...mapSwitch.heard().values()].map(({ news }) => news) },
+    };
+};
--- /dev/null
+++ b/tests/expertMapProcesses.test.ts
@@ -0,0 +1,68 @@
+/**
+ * Expert maps as separate processes: the agents of a group plan, commit and switch maps among themselves, through a
+ * killed agent, a crashed rank and a log outage, judged by the engine's own record of steps.
+ */
+import { expect } from "chai";
+import type { StepRecord } from "../src/standin/modelEngine.js";
+import { type Deployment, getJson, postJson, startDeployment } from "./support/deployment.js";
+import { mixedSteps } from "./support/mapFleet.js";
+import { killAllPrograms } from "./support/processes.js";
+
+type GroupDump = { step: number; formation: number; steps: StepRecord[]; };
+
+describe("expert maps, as separate processes", () => {
+    let deployment: Deployment;
+
+    const record = (): Promise<GroupDump> =>
+        getJson(`http://${deployment.engines.get("council")!.addresses[0]}/record`);
+
+    /** Reads the record until `holds`; the test's own time-out bounds the wait. */
+    const until = async (holds: (dump: GroupDump) => boolean): Promise<GroupDump> => {
+        for (;;) {
+            const dump = await record();
+            if (holds(dump)) {
+                return dump;
+            }
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    };
+
+    const lastMap = ({ steps }: GroupDump): number => steps.at(-1)?.map ?? -1;
+
+    before(async () => {
+        deployment = await startDeployment({
+            entries: [{ host: "entry-0", availabilityZone: "fes-medina" }],
+            groups: [{
+                group: "council",
+                availabilityZone: "fes-medina",
+                ranks: 3,
+                engine: ["--expert-maps", "--layers", "2", "--experts", "12", "--starts-warm", "--checks-fence"],
+                settings: { layers: 2, expertsPerLayer: 12, slotsPerRank: 5, expertMaps: true },
+            }],
+        });
+    });
+
+    after(async () => {
+        await deployment.stop();
+        killAllPrograms();
+    });
+
+    it("commits a map that levels the ranks and runs every step on one map", async () => {
+        const dump = await until(seen => lastMap(seen) >= 0);
+        expect(mixedSteps(dump.steps)).to.deep.equal([]);
+    });
+
+    it("goes on after a killed agent and a crashed rank while the log is out", async () => {
+        const committed = lastMap(await record());
+        await postJson(`${deployment.platform.url}/faults`, { log: { outage: true } });
+        await deployment.agents.get("council-1")!.program.kill();
+        const rankAddress = deployment.engines.get("council")!.addresses[2]!;
+        const { formation } = await record();
+        await postJson(`http://${rankAddress}/faults`, { rank: 2, crash: true });
+        await until(seen => seen.formation > formation);
+        await deployment.startAgent("council-1");
+        const dump = await until(seen => seen.steps.at(-1)?.formation !== formation && seen.steps.length > 0);
+        expect(lastMap(dump)).to.be.least(committed);
+        expect(mixedSteps(dump.steps)).to.deep.equal([]);
+    });
+}).timeout(30_000);
