Let four hosts of each zone read the settings stream for all

Every daemon waited at the log, so that a change woke as many reads as there are daemons. Four hosts of each zone, by rendezvous hash, now wait there; the others take what the relay carries, read once a minute, and read for themselves when no peer has answered for 3 s. In the test with 16 daemons all have a change within 4 s, also after all four readers are gone.

--- a/src/coordination/settingsFollower.ts
+++ b/src/coordination/settingsFollower.ts
@@ -3,6 +3,7 @@
  *
  * The state also comes from other daemons through the relay. Whatever its source, it only ever moves to a higher
  * offset. While the log is out, the follower serves on with what it has and tries again after a short, jittered delay.
+ * Where other daemons read the stream for all, it leaves the log alone but for a read now and then.
  */
 import { adoptSettings, foldSettingsRecords } from "../state/settingsFold.js";
 import type { SettingsFoldRun } from "../state/settingsFold.js";
@@ -18,6 +19,8 @@
 // Keeps a log that answers empty reads at once from being polled in a tight loop.
 const emptyReadPauseMilliseconds = 100;
 const maximumPendingRecords = 16_384;
+const listenerReadIntervalMilliseconds = 60_000;
+const listenerCheckMilliseconds = 1_000;
 
 /** The last snapshot that the follower has seen in the stream; times are by the log's clock. */
 export type SnapshotMark = { offset: number; upToOffset: number; appendedAt: number; };
@@ -60,11 +63,13 @@
     clock: Clock;
     random: RandomNumber;
     signal: AbortSignal;
+    /** Whether this daemon waits at the log for new records; others hear of them through the relay. Always, by default. */
+    isReader?: () => boolean;
 };
 
 /** Starts the task that follows the stream, from an empty tree. */
 export const startSettingsFollower = (options: SettingsFollowerOptions): SettingsFollower => {
-    const { stream, clock, random, signal } = options;
+    const { stream, clock, random, signal, isReader = () => true } = options;
     const listeners = new Set<(state: SettingsState) => void>();
     const recent = createRecentRecords<SettingsRecord>();
     const status: SettingsFollowerStatus = { offset: -1, pendingRecords: 0, accepted: 0, conflicts: 0, malformed: 0 };
@@ -118,10 +123,18 @@
 
     const nextOffset = (): number => Math.max(current.offset, pending.at(-1)?.offset ?? -1) + 1;
 
+    const waitAsListener = async (): Promise<void> => {
+        const until = clock.now() + listenerReadIntervalMilliseconds * (0.5 + random());
+        while (!signal.aborted && !isReader() && pending.length === 0 && clock.now() < until) {
+            await clock.sleep(listenerCheckMilliseconds, signal);
+        }
+    };
+
     const follow = async (): Promise<void> => {
         let failures = 0;
         while (!signal.aborted) {
-            const slice = await stream.read(nextOffset(), longPollMilliseconds, signal);
+            const waitMilliseconds = isReader() ? longPollMilliseconds : 0;
+            const slice = await stream.read(nextOffset(), waitMilliseconds, signal);
             if (slice.isErr()) {
                 status.logFailure = slice.error.reason;
                 const longest = Math.min(firstRetryMilliseconds * 2 ** failures, maximumRetryMilliseconds);
@@ -135,6 +148,7 @@
             takeSlice(slice.value);
             if (slice.value.records.length === 0) {
                 await clock.sleep(emptyReadPauseMilliseconds, signal);
+                await waitAsListener();
             }
         }
     };
--- a/src/transport/daemonCore.ts
+++ b/src/transport/daemonCore.ts
@@ -4,6 +4,7 @@
  */
 import type { Hono } from "hono";
 import { type HostListFollower, hostListTopic, startHostListFollower } from "../coordination/hostListFollower.js";
+import { createLogReaderRole } from "../coordination/logReaders.js";
 import { createMetrics, type Metrics } from "../coordination/metrics.js";
 import { type RelayTopic, startRelay } from "../coordination/relay.js";
 import { type SettingsFollower, startSettingsFollower } from "../coordination/settingsFollower.js";
@@ -56,14 +57,22 @@
     const clock = systemClock;
     const metrics = createMetrics();
     const stream = createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" });
-    const follower = startSettingsFollower({ stream, clock, random: Math.random, signal });
-    const settings = createSettingsReader(follower.state);
     const hostList = startHostListFollower({
         read: readSignal => readHostList(config.platform, readSignal),
         pollMilliseconds: hostListPollMilliseconds,
         clock,
         signal,
     });
+    let relay: ReturnType<typeof startRelay> | undefined;
+    const isReader = createLogReaderRole({
+        host: config.host,
+        availabilityZone: config.availabilityZone,
+        hosts: hostList.hosts,
+        relay: () => relay?.status(),
+        clock,
+    });
+    const follower = startSettingsFollower({ stream, clock, random: Math.random, signal, isReader });
+    const settings = createSettingsReader(follower.state);
     const zoneOrders = createZoneOrders({ settings: follower.state, clock, decode: decodeZoneOrders });
     const topics: RelayTopic[] = [
         settingsTopic(follower, decodeSettingsUpdate),
@@ -76,7 +85,6 @@
     hostList.onChange(({ hosts }) => {
         ownState = hosts.find(({ host }) => host === config.host)?.state;
     });
-    let relay: ReturnType<typeof startRelay> | undefined;
     void runSnapshotDuty({
         follower,
         stream,
@@ -107,7 +115,7 @@
                 dump: () => ({
                     host: config.host,
                     availabilityZone: config.availabilityZone,
-                    settings: { ...follower.status(), unreadable: settings.unreadable() },
+                    settings: { ...follower.status(), isReader: isReader(), unreadable: settings.unreadable() },
                     hostList: { ...hostList.current(), failure: hostList.failure() },
                     zoneOrders: zoneOrders.inForce(),
                     relay: relay?.status(),
--- a/tests/settingsSpread.test.ts
+++ b/tests/settingsSpread.test.ts
@@ -1,15 +1,16 @@
 import { expect } from "chai";
 import { err, ok } from "neverthrow";
 import { setMaxListeners } from "node:events";
+import { createLogReaderRole } from "../src/coordination/logReaders.js";
 import { answerPeer, startRelay } from "../src/coordination/relay.js";
-import type { PeerExchange, RelayTopic } from "../src/coordination/relay.js";
+import type { PeerExchange, Relay, RelayTopic } from "../src/coordination/relay.js";
 import { startSettingsFollower } from "../src/coordination/settingsFollower.js";
 import { settingsTopic } from "../src/coordination/settingsTopic.js";
 import { runSnapshotDuty } from "../src/coordination/snapshotDuty.js";
 import { availabilityZoneSettings } from "../src/protocol/settingsSchema.js";
 import { decodeSettingsUpdate } from "../src/protocol/settingsUpdate.js";
 import { editFrom } from "../src/state/settingsFold.js";
-import type { SettingsRecord } from "../src/state/types.js";
+import type { HostRecord, SettingsRecord } from "../src/state/types.js";
 import { advanceUntil } from "./support/advance.js";
 import { memoryLog } from "./support/memoryLog.js";
 import { seededRandom } from "./support/random.js";
@@ -26,6 +27,11 @@
     setMaxListeners(0, controller.signal);
     const topics = new Map<string, RelayTopic[]>();
     const unreachable = new Set<string>();
+    let hosts: HostRecord[] = [];
+    /** Lists daemons of one availability zone, a few of which then read the log for all. */
+    const listHosts = (names: string[]): void => {
+        hosts = names.map(host => ({ host, availabilityZone: "savo", role: "entry", state: "live", address: host }));
+    };
 
     const exchange: PeerExchange = async (address, message) => {
         const known = topics.get(address);
@@ -36,13 +42,21 @@
 
     const startDaemon = (host: string, seeds?: string[]) => {
         const stream = log.connect();
-        const follower = startSettingsFollower({ stream, clock, random, signal: controller.signal });
+        let relay: Relay | undefined;
+        const isReader = createLogReaderRole({
+            host,
+            availabilityZone: "savo",
+            hosts: () => hosts,
+            relay: () => relay?.status(),
+            clock,
+        });
+        const follower = startSettingsFollower({ stream, clock, random, signal: controller.signal, isReader });
         const own = [settingsTopic(follower, decodeSettingsUpdate)];
         const peers = () => seeds ?? [...topics.keys()].filter(other => other !== host);
         topics.set(host, own);
-        const relay = startRelay({ topics: own, peers, exchange, clock, random, signal: controller.signal });
+        relay = startRelay({ topics: own, peers, exchange, clock, random, signal: controller.signal });
         const zoneState = (zone: string) => availabilityZoneSettings(follower.state(), zone)._unsafeUnwrap().state;
-        return { host, stream, follower, relay, zoneState };
+        return { host, stream, follower, relay, isReader, zoneState };
     };
 
     const operator = startDaemon("operator", []);
@@ -55,7 +69,7 @@
         controller.abort();
         await Promise.all([operator, ...daemons].flatMap(({ follower, relay }) => [follower.done, relay.done]));
     };
-    return { clock, log, controller, unreachable, startDaemon, operator, orderZone, stop };
+    return { clock, log, controller, unreachable, startDaemon, listHosts, operator, orderZone, stop };
 };
 
 describe("settings spread", () => {
@@ -107,6 +121,31 @@
         await stop(island);
     });
 
+    it("are read from the log by a few hosts of a zone for all, and by the others once these are gone", async () => {
+        const { clock, log, startDaemon, listHosts, orderZone, stop } = deployment(5);
+        const names = [...Array(16).keys()].map(position => `savo-${position}`);
+        listHosts(names);
+        const daemons = names.map(name => startDaemon(name));
+        await clock.run(10_000);
+        const before = log.reads();
+        await clock.run(60_000);
+        expect(log.reads() - before, "reads a minute").to.be.below(16 * 6 / 2);
+        await orderZone("savo-kuopio", "out");
+        const everywhere = () => daemons.every(daemon => daemon.zoneState("savo-kuopio") === "out");
+        expect(await advanceUntil(clock, everywhere)).to.be.at.most(inForceLimitMilliseconds);
+        const listeners = daemons.filter(({ isReader }) => !isReader());
+        expect(listeners).to.have.lengthOf(12);
+        daemons.filter(({ isReader }) => isReader()).forEach(reader => {
+            reader.stream.cut = true;
+        });
+        listHosts(listeners.map(({ host }) => host));
+        await clock.run(2_000);
+        await orderZone("savo-kuopio", "in");
+        const back = await advanceUntil(clock, () => daemons.every(daemon => daemon.zoneState("savo-kuopio") === "in"));
+        expect(back).to.be.at.most(inForceLimitMilliseconds);
+        await stop(...daemons);
+    });
+
     it("survive the log's retention through a snapshot, mostly by one of many daemons", async () => {
         const { clock, log, controller, startDaemon, operator, orderZone, stop } = deployment(4);
         log.faults.retentionRecords = 40;
--- a/tests/support/memoryLog.ts
+++ b/tests/support/memoryLog.ts
@@ -11,12 +11,15 @@
     /** A connection to the log; it fails while its own `cut` is set or the log is out. */
     connect: () => LogStream<Body> & { cut: boolean; };
     records: () => LogRecord<Body>[];
+    /** Reads that the log has answered or refused. */
+    reads: () => number;
 };
 
 export const memoryLog = <Body>(clock: Clock): MemoryLog<Body> => {
     const faults = { outage: false, loseAnswers: 0, retentionRecords: Infinity };
     let records: LogRecord<Body>[] = [];
     let nextOffset = 0;
+    let reads = 0;
     let waiting: (() => void)[] = [];
 
     const take = (body: Body): number => {
@@ -45,6 +48,7 @@
                 return ok(offset);
             },
             read: async (fromOffset, waitMilliseconds, signal) => {
+                reads += 1;
                 if (!isOut() && fromOffset >= nextOffset) {
                     const record = new Promise<void>(resolve => waiting.push(resolve));
                     await Promise.race([record, clock.sleep(waitMilliseconds, signal)]);
@@ -63,5 +67,5 @@
         return connection;
     };
 
-    return { faults, connect, records: () => records };
+    return { faults, connect, records: () => records, reads: () => reads };
 };
