--- a/src/bench/completionLoad.ts
+++ b/src/bench/completionLoad.ts
@@ -169,6 +169,17 @@
     return seconds;
 };
 
+/** Runs the load that comes before a measured one; its measures are thrown away. */
+export const warmUp = async (
+    tools: ExperimentTools,
+    options: ExperimentOptions,
+    paths: LoadPath[],
+): Promise<void> => {
+    if (options.warmUpSeconds > 0) {
+        await runCompletionLoad(tools, { ...options, seconds: options.warmUpSeconds }, paths);
+    }
+};
+
 const choosePath = (paths: LoadPath[], point: number): LoadPath | undefined => {
     let reached = 0;
     return paths.find(path => {
--- a/src/bench/loadExperiment.ts
+++ b/src/bench/loadExperiment.ts
@@ -2,7 +2,14 @@
  * Completions through the entries beside the same load straight at the engines, in one run: the added latency and the
  * tokens that are relayed, with the processor time of each daemon.
  */
-import { engineTargets, entryTargets, type LoadPath, PathMeasures, runCompletionLoad } from "./completionLoad.js";
+import {
+    engineTargets,
+    entryTargets,
+    type LoadPath,
+    PathMeasures,
+    runCompletionLoad,
+    warmUp,
+} from "./completionLoad.js";
 import type { ExperimentOptions, ExperimentResult, ExperimentTools } from "./experiment.js";
 import { coreShares, readUsage } from "./processUsage.js";
 import type { ReportRow } from "./report.js";
@@ -15,20 +22,21 @@
     (directShare: number, leastTokensPerSecond: number | undefined) =>
     async (tools: ExperimentTools, options: ExperimentOptions): Promise<ExperimentResult> => {
         const { deployment } = tools;
-        const relayed = new PathMeasures("entry");
-        const direct = new PathMeasures("direct");
-        const paths: LoadPath[] = [
+        const planned = { ...options, ratePerSecond: options.ratePerSecond * (1 + directShare) };
+        const pathsFor = (relayed: PathMeasures, direct: PathMeasures): LoadPath[] => [
             { measures: relayed, share: 1, targets: entryTargets(tools) },
             { measures: direct, share: directShare, targets: engineTargets(tools) },
         ];
+        await warmUp(tools, planned, pathsFor(new PathMeasures("entry"), new PathMeasures("direct")));
+        const relayed = new PathMeasures("entry");
+        const direct = new PathMeasures("direct");
         const bench = { host: "bench", pid: process.pid };
         const engines = deployment.engines.map(({ group, pid }) => ({ host: group, pid }));
         const daemons = [...deployment.entries, ...deployment.agents];
         const others = [...engines, bench];
         const readAll = () => Promise.all([...daemons, ...others].map(({ pid }) => readUsage(pid)));
         const before = await readAll();
-        const ratePerSecond = options.ratePerSecond * (1 + directShare);
-        const seconds = await runCompletionLoad(tools, { ...options, ratePerSecond }, paths);
+        const seconds = await runCompletionLoad(tools, planned, pathsFor(relayed, direct));
         const after = await readAll();
         const shares = coreShares(before, after, seconds);
         const usage = [...daemons, ...others].map(({ host }, index): ReportRow => ({
--- a/src/bench/zoneExperiment.ts
+++ b/src/bench/zoneExperiment.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from "../state/types.js";
 import { systemClock } from "../transport/systemClock.js";
-import { entryTargets, PathMeasures, runCompletionLoad } from "./completionLoad.js";
+import { entryTargets, PathMeasures, runCompletionLoad, warmUp } from "./completionLoad.js";
 import { changeSettings, readAllRanks, setFaults } from "./controls.js";
 import type { Experiment, ExperimentTools } from "./experiment.js";
 import type { ReportRow } from "./report.js";
@@ -41,6 +41,7 @@
     const { deployment } = tools;
     const zone = deployment.engines[0]?.availabilityZone ?? "";
     const measures = new PathMeasures("entry");
+    await warmUp(tools, options, [{ measures: new PathMeasures("entry"), share: 1, targets: entryTargets(tools) }]);
     const before = await readAllRanks(deployment.engines);
     const startedAt = systemClock.now();
     const [seconds, times] = await Promise.all([
