--- a/src/coordination/demandExchange.ts
+++ b/src/coordination/demandExchange.ts
@@ -20,9 +20,9 @@
 /** Peers asked in each interval. */
 const peersAsked = 4;
 
-/** Builds the topic `demand` over `shares`; the decoders check what peers send. */
-export const demandTopic = (shares: AccountShares, decode: DemandDecoders): RelayTopic => ({
-    name: "demand",
+/** Builds the topic of one availability zone over `shares`; the decoders check what peers send. */
+export const demandTopic = (availabilityZone: string, shares: AccountShares, decode: DemandDecoders): RelayTopic => ({
+    name: `demand/${availabilityZone}`,
     digest: (): DemandDigest => {
         const [own, ...others] = shares.records() as [EntryRecord, ...EntryRecord[]];
         return { own, known: Object.fromEntries(others.map(({ host, sequence }) => [host, sequence])) };
@@ -57,9 +57,10 @@
     let next = 0;
 
     const ask = async (address: string): Promise<void> => {
-        const answer = await exchange(address, { [topic.name]: topic.digest() }, signal);
+        const message = { digests: { [topic.name]: topic.digest() }, updates: {} };
+        const answer = await exchange(address, message, signal);
         if (answer.isOk()) {
-            topic.accept(answer.value[topic.name]);
+            topic.accept(answer.value.updates[topic.name]);
         }
     };
 
