--- /dev/null
+++ b/src/bench/claimCommitExperiment.ts
@@ -0,0 +1,98 @@
+/**
+ * Claims through claim keepers on a real log: how many one append carries, and the latency that a claim adds.
+ *
+ * The keepers run in this process, one for each agent, and share one stream. The log answers after a set latency and
+ * takes a set number of appends a second. A granted claim is completed at once, so each call costs a claim and a result.
+ */
+import { performance } from "node:perf_hooks";
+import { createClaimKeeper } from "../coordination/claimKeeper.js";
+import { decodedStream } from "../coordination/decodedStream.js";
+import { claimStreamName, decodeClaimBatch } from "../protocol/claimRecords.js";
+import { claimWindowOf } from "../state/claimFold.js";
+import type { RandomNumber } from "../state/types.js";
+import { createLogClient } from "../transport/logClient.js";
+import { systemClock } from "../transport/systemClock.js";
+import { readLogMetrics, setFaults } from "./controls.js";
+import { Counts, Latency } from "./measures.js";
+import { runOpenLoop } from "./openLoop.js";
+import { poissonArrivals } from "./randomNumbers.js";
+import type { ReportRow } from "./report.js";
+
+const millisecondsPerSecond = 1_000;
+const retentionMilliseconds = 3_600_000;
+const patienceMilliseconds = 20_000;
+const answer = { status: 200, contentType: "application/json", body: `{"receipt":1}` };
+
+export type ClaimCommitOptions = {
+    /** `ip:port` of the platform. */
+    platform: string;
+    agents: number;
+    ratePerSecond: number;
+    seconds: number;
+    logLatencyMilliseconds: number;
+    appendsPerSecond: number;
+    random: RandomNumber;
+    newId: () => string;
+};
+
+/** Measures one load at one latency of the log. */
+export const runClaimCommit = async (options: ClaimCommitOptions, signal: AbortSignal): Promise<ReportRow[]> => {
+    const { platform, agents, ratePerSecond, seconds, logLatencyMilliseconds, appendsPerSecond, newId } = options;
+    const stopping = new AbortController();
+    const stream = claimStreamName(`bench-${newId()}`);
+    const keepers = [...Array(agents).keys()].map(index =>
+        createClaimKeeper({
+            stream: decodedStream(
+                createLogClient<unknown>({ platform: `http://${platform}`, stream }),
+                decodeClaimBatch,
+            ),
+            clock: systemClock,
+            agent: `agent-${index}`,
+            window: claimWindowOf(retentionMilliseconds),
+        })
+    );
+    const running = keepers.map(keeper => keeper.run(stopping.signal));
+    await setFaults(platform, { log: { delayMilliseconds: logLatencyMilliseconds, appendsPerSecond } });
+    while (keepers.some(keeper => !keeper.state().ready)) {
+        await systemClock.sleep(logLatencyMilliseconds, signal);
+    }
+    const latency = new Latency();
+    const outcomes = new Counts();
+    const claimOnce = async (plannedAt: number, index: number): Promise<void> => {
+        const deadline = systemClock.now() + patienceMilliseconds;
+        const request = { key: newId(), digest: "digest", deadline };
+        const claimed = await keepers[index % agents]?.claim(request, signal);
+        const permit = claimed?.isOk() && claimed.value.kind === "run" ? claimed.value.permit : undefined;
+        permit?.complete(answer);
+        outcomes.add(permit === undefined ? "refused" : "granted");
+        latency.record(performance.now() - plannedAt);
+    };
+    const before = await readLogMetrics(platform);
+    const startedAt = performance.now();
+    const processorBefore = process.cpuUsage();
+    await runOpenLoop(poissonArrivals(ratePerSecond, seconds, options.random), claimOnce, systemClock, signal);
+    const elapsedSeconds = (performance.now() - startedAt) / millisecondsPerSecond;
+    const processor = process.cpuUsage(processorBefore);
+    await Promise.all(keepers.map(keeper => keeper.drained(patienceMilliseconds, signal)));
+    const after = await readLogMetrics(platform);
+    await setFaults(platform, { log: { delayMilliseconds: 0 } });
+    stopping.abort();
+    await Promise.all(running);
+    const granted = outcomes.of("granted");
+    const appends = after.appends - before.appends;
+    const at = `at ${logLatencyMilliseconds} ms`;
+    const processorMicroseconds = processor.user + processor.system;
+    return [
+        { name: `claims a second, ${at}`, value: granted / elapsedSeconds, unit: "claims/s" },
+        { name: `claims refused, ${at}`, value: outcomes.of("refused"), unit: "claims" },
+        { name: `appends a second, ${at}`, value: appends / elapsedSeconds, unit: "appends/s" },
+        { name: `claims an append, ${at}`, value: granted / appends, unit: "claims" },
+        { name: `added latency p50, ${at}`, value: latency.percentile(50), unit: "ms" },
+        { name: `added latency p99, ${at}`, value: latency.percentile(99), unit: "ms" },
+        {
+            name: `processor time a claim, all agents, ${at}`,
+            value: processorMicroseconds / Math.max(1, granted),
+            unit: "µs",
+        },
+    ];
+};
--- a/src/coordination/changes.ts
+++ b/src/coordination/changes.ts
@@ -3,6 +3,9 @@
  */
 import type { Clock } from "../state/types.js";
 
+/** Reason of a waiter's abort; without one, each abort builds an error with its stack. */
+const woken = "woken";
+
 export type Changes = {
     /** Resolves when `name` is announced, after `milliseconds`, or when `signal` aborts. */
     wait: (name: string, milliseconds: number, signal: AbortSignal) => Promise<void>;
@@ -18,7 +21,7 @@
             return;
         }
         const waiter = new AbortController();
-        const stop = (): void => waiter.abort();
+        const stop = (): void => waiter.abort(woken);
         const group = waiters.get(name) ?? new Set();
         waiters.set(name, group.add(waiter));
         signal.addEventListener("abort", stop, { once: true });
@@ -33,7 +36,7 @@
     const announce = (name: string): void => {
         const group = waiters.get(name);
         waiters.delete(name);
-        group?.forEach(waiter => waiter.abort());
+        group?.forEach(waiter => waiter.abort(woken));
     };
 
     return { wait, announce };
--- a/src/coordination/groupCommit.ts
+++ b/src/coordination/groupCommit.ts
@@ -33,6 +33,8 @@
 const intervalDecay = 0.8;
 const idleMilliseconds = 60_000;
 const queueChange = "queue";
+/** Reason of an append's abort; without one, each abort builds an error with its stack. */
+const appendEnded = "the append has ended";
 const drainedChange = "drained";
 
 export type GroupCommitOptions<Entry> = {
@@ -102,14 +104,14 @@
 
     const appendInTime = async (batch: Entry[], signal: AbortSignal): Promise<Result<number, AppendFailure>> => {
         const append = new AbortController();
-        const stop = (): void => append.abort();
+        const stop = (): void => append.abort(appendEnded);
         signal.addEventListener("abort", stop, { once: true });
         const timeout = clock.sleep(limits.appendTimeoutMilliseconds, append.signal).then(() =>
             err<number, AppendFailure>({ kind: "unknown", reason: "the append got no answer in time" })
         );
         const appended = await Promise.race([options.append(batch, append.signal), timeout]);
         signal.removeEventListener("abort", stop);
-        append.abort();
+        append.abort(appendEnded);
         return appended;
     };
 
--- a/src/programs/bench.ts
+++ b/src/programs/bench.ts
@@ -7,13 +7,14 @@
  */
 import { type CommandDef, defineCommand, runMain } from "citty";
 import { v7 as newId } from "uuid";
+import { runClaimCommit } from "../bench/claimCommitExperiment.js";
 import { claimsExperiment } from "../bench/claimsExperiment.js";
 import { coldStartExperiment } from "../bench/coldStartExperiment.js";
 import { readDeployment } from "../bench/deployment.js";
 import type { Experiment } from "../bench/experiment.js";
 import { loadExperiment } from "../bench/loadExperiment.js";
 import { seededRandom } from "../bench/randomNumbers.js";
-import { identifyRun, meetsTarget, publishReport } from "../bench/report.js";
+import { identifyRun, meetsTarget, publishReport, type ReportRow } from "../bench/report.js";
 import { settingsExperiment } from "../bench/settingsExperiment.js";
 import { zoneExperiment } from "../bench/zoneExperiment.js";
 
@@ -90,6 +91,47 @@
     },
 });
 
+const claimCommit = defineCommand({
+    meta: { name: "claim-commit", description: "claims that one append carries, and the latency that a claim adds" },
+    args: {
+        "platform": {
+            type: "string",
+            required: true,
+            description: "ip:port of a platform stand-in without other load",
+        },
+        "seed": sharedArguments.seed,
+        "rate": { type: "string", default: "10000", description: "planned claims a second" },
+        "seconds": { type: "string", default: "5" },
+        "agents": { type: "string", default: "3" },
+        "appends": { type: "string", default: "300", description: "appends a second that the log takes" },
+        "latencies": { type: "string", default: "2,20,200", description: "latencies of the log in milliseconds" },
+        "output": sharedArguments.output,
+        "compare": sharedArguments.compare,
+        "commit": sharedArguments.commit,
+    },
+    run: async ({ args }) => {
+        const options = {
+            platform: args.platform,
+            agents: Number(args.agents),
+            ratePerSecond: Number(args.rate),
+            seconds: Number(args.seconds),
+            appendsPerSecond: Number(args.appends),
+            random: seededRandom(Number(args.seed)),
+            newId: () => newId(),
+        };
+        const stop = new AbortController();
+        process.once("SIGINT", () => stop.abort());
+        const rows: ReportRow[] = [];
+        for (const latency of args.latencies.split(",")) {
+            rows.push(...await runClaimCommit({ ...options, logLatencyMilliseconds: Number(latency) }, stop.signal));
+        }
+        const { agents, ratePerSecond, seconds, appendsPerSecond } = options;
+        const load = { agents, ratePerSecond, seconds, appendsPerSecond };
+        const run = identifyRun("claim-commit", Number(args.seed), args.commit, load);
+        await publishReport({ run, rows, charts: [] }, args.output, args.compare);
+    },
+});
+
 const main = defineCommand({
     meta: { name: "cyclamengap-bench", description: "load and experiments on a running deployment" },
     subCommands: {
@@ -97,6 +139,7 @@
         "zone": commandFor("zone", "an availability zone leaves and returns under load", zoneExperiment),
         "cold-start": commandFor("cold-start", "cold engines with and without the gate", coldStartExperiment),
         "claims": commandFor("claims", "non-idempotent calls with lost answers and resends", claimsExperiment),
+        "claim-commit": claimCommit as CommandDef,
         "settings": commandFor("settings", "time until changes are in force everywhere", settingsExperiment),
     },
 });
