--- a/src/bench/claimCommitExperiment.ts
+++ b/src/bench/claimCommitExperiment.ts
@@ -26,6 +26,10 @@
 export type ClaimCommitOptions = {
     /** `ip:port` of the platform. */
     platform: string;
+    /** Name of the service whose claims stream is used; runs at the same time may share it. */
+    service: string;
+    /** Names the agents of this run. */
+    name: string;
     agents: number;
     ratePerSecond: number;
     seconds: number;
@@ -39,7 +43,7 @@
 export const runClaimCommit = async (options: ClaimCommitOptions, signal: AbortSignal): Promise<ReportRow[]> => {
     const { platform, agents, ratePerSecond, seconds, logLatencyMilliseconds, appendsPerSecond, newId } = options;
     const stopping = new AbortController();
-    const stream = claimStreamName(`bench-${newId()}`);
+    const stream = claimStreamName(options.service);
     const keepers = [...Array(agents).keys()].map(index =>
         createClaimKeeper({
             stream: decodedStream(
@@ -47,7 +51,7 @@
                 decodeClaimBatch,
             ),
             clock: systemClock,
-            agent: `agent-${index}`,
+            agent: `${options.name}/${index}`,
             window: claimWindowOf(retentionMilliseconds),
         })
     );
@@ -61,7 +65,8 @@
     const claimOnce = async (plannedAt: number, index: number): Promise<void> => {
         const deadline = systemClock.now() + patienceMilliseconds;
         const request = { key: newId(), digest: "digest", deadline };
-        const claimed = await keepers[index % agents]?.claim(request, signal);
+        // As at an agent, each request has a signal of its own.
+        const claimed = await keepers[index % agents]?.claim(request, new AbortController().signal);
         const permit = claimed?.isOk() && claimed.value.kind === "run" ? claimed.value.permit : undefined;
         permit?.complete(answer);
         outcomes.add(permit === undefined ? "refused" : "granted");
@@ -75,7 +80,6 @@
     const processor = process.cpuUsage(processorBefore);
     await Promise.all(keepers.map(keeper => keeper.drained(patienceMilliseconds, signal)));
     const after = await readLogMetrics(platform);
-    await setFaults(platform, { log: { delayMilliseconds: 0 } });
     stopping.abort();
     await Promise.all(running);
     const granted = outcomes.of("granted");
--- a/src/coordination/claimKeeper.ts
+++ b/src/coordination/claimKeeper.ts
@@ -132,8 +132,7 @@
         changes.announce(attempt.request.key);
     };
 
-    const appendRelease = (key: string, attempt: string): void =>
-        commit.submitAlways({ kind: "release", key, attempt });
+    const appendRelease = (key: string, attempt: string): void => commit.submitLater({ kind: "release", key, attempt });
 
     const giveUp = (attempt: OpenAttempt, settlement: Settlement): void => {
         attempt.settlement = settlement;
@@ -276,7 +275,7 @@
 
     const finish = (attempt: OpenAttempt, result: RunResult): void => {
         attempt.result = result;
-        commit.submitAlways({ kind: "result", key: attempt.request.key, attempt: attempt.id, result });
+        commit.submitLater({ kind: "result", key: attempt.request.key, attempt: attempt.id, result });
         changes.announce(attempt.request.key);
     };
 
--- a/src/coordination/groupCommit.ts
+++ b/src/coordination/groupCommit.ts
@@ -1,8 +1,8 @@
 /**
  * Group commit: one append to a stream carries every entry that came in while the append before it was in flight.
  *
- * At most one append is in flight, and two appends start at least one interval apart. An entry that finds the writer
- * idle is appended at once. The interval doubles whenever the log turns an append away and shrinks again with each
+ * At most one append is in flight, and two appends start at least one interval apart. An urgent entry that finds the
+ * writer idle is appended at once; one that nobody waits for goes along with the next, or after a while by itself. The interval doubles whenever the log turns an append away and shrinks again with each
  * success, so that many writers share a log of limited rate without a coordinator.
  */
 import { err, type Result } from "neverthrow";
@@ -25,12 +25,13 @@
     entriesPerAppend: 1_024,
     bytesPerAppend: 262_144,
     waitingEntries: 16_384,
-    intervalMilliseconds: 20,
+    intervalMilliseconds: 10,
     appendTimeoutMilliseconds: 5_000,
 };
 
 const longestIntervalMilliseconds = 500;
 const intervalDecay = 0.8;
+const laterMilliseconds = 50;
 const idleMilliseconds = 60_000;
 const queueChange = "queue";
 /** Reason of an append's abort; without one, each abort builds an error with its stack. */
@@ -53,8 +54,8 @@
 export type GroupCommit<Entry> = {
     /** Queues `entry`, or says `false` when too many entries wait. */
     submit: (entry: Entry) => boolean;
-    /** Queues `entry` even when too many wait; for the entries that follow from one admitted earlier. */
-    submitAlways: (entry: Entry) => void;
+    /** Queues `entry`, which nobody waits for, even when too many wait; it follows from one admitted earlier. */
+    submitLater: (entry: Entry) => void;
     waiting: () => number;
     /** Resolves when nothing waits, after `milliseconds`, or when `signal` aborts. */
     drained: (milliseconds: number, signal: AbortSignal) => Promise<void>;
@@ -69,17 +70,22 @@
     let inFlight = 0;
     let interval = limits.intervalMilliseconds;
     let nextStartAt = -Infinity;
+    /** When the oldest entry in the queue is due. */
+    let dueAt = Infinity;
 
-    const submitAlways = (entry: Entry): void => {
+    const enqueue = (entry: Entry, due: number): void => {
         queue.push(entry);
+        dueAt = Math.min(dueAt, due);
         changes.announce(queueChange);
     };
 
+    const submitLater = (entry: Entry): void => enqueue(entry, clock.now() + laterMilliseconds);
+
     const submit = (entry: Entry): boolean => {
         if (queue.length >= limits.waitingEntries) {
             return false;
         }
-        submitAlways(entry);
+        enqueue(entry, clock.now());
         return true;
     };
 
@@ -99,6 +105,7 @@
             }
         }
         queue = queue.slice(taken);
+        dueAt = queue.length === 0 ? Infinity : clock.now();
         return batch;
     };
 
@@ -124,6 +131,7 @@
         interval = Math.min(Math.max(interval, limits.intervalMilliseconds) * 2, longestIntervalMilliseconds);
         nextStartAt = clock.now() + interval;
         queue = [...options.onFailure(batch, appended.error), ...queue];
+        dueAt = queue.length === 0 ? Infinity : clock.now();
     };
 
     const run = async (signal: AbortSignal): Promise<void> => {
@@ -132,9 +140,10 @@
                 await changes.wait(queueChange, idleMilliseconds, signal);
                 continue;
             }
-            const pause = nextStartAt - clock.now();
+            const pause = Math.max(nextStartAt, dueAt) - clock.now();
             if (pause > 0) {
-                await clock.sleep(pause, signal);
+                // An urgent entry may come in before the others are due.
+                await changes.wait(queueChange, pause, signal);
                 continue;
             }
             const batch = takeBatch();
@@ -158,5 +167,5 @@
         }
     };
 
-    return { submit, submitAlways, waiting, drained, run };
+    return { submit, submitLater, waiting, drained, run };
 };
--- a/src/coordination/quarantineKeeper.ts
+++ b/src/coordination/quarantineKeeper.ts
@@ -123,7 +123,9 @@
 
     const tell = (report: CrashReport): void => {
         hear(report);
-        commit.submitAlways({ kind: "crash", report });
+        if (!commit.submit({ kind: "crash", report })) {
+            commit.submitLater({ kind: "crash", report });
+        }
     };
 
     const settleTrial = (by: string, digest: string, trial: string): void => {
@@ -134,7 +136,7 @@
         }
         else if (by === agent && isFirst && trials.get(trial) !== "first") {
             // The trial turned up after its agent had stopped waiting for it.
-            commit.submitAlways({ kind: "withdraw", digest, trial });
+            commit.submitLater({ kind: "withdraw", digest, trial });
         }
     };
 
@@ -159,9 +161,9 @@
 
     const endTrial = (digest: string, trial: string): Trial["end"] => {
         const ends: Record<TrialEnd, () => void> = {
-            completed: () => commit.submitAlways({ kind: "clear", digest, by: agent }),
+            completed: () => commit.submitLater({ kind: "clear", digest, by: agent }),
             crashed: () => tell({ id: trial, digests: [digest], isTrial: true }),
-            undecided: () => commit.submitAlways({ kind: "withdraw", digest, trial }),
+            undecided: () => commit.submitLater({ kind: "withdraw", digest, trial }),
         };
         return how => {
             trials.delete(trial);
@@ -172,7 +174,7 @@
     const beginTrial = async (digest: string, signal: AbortSignal): Promise<Result<Trial, TrialRefusal>> => {
         const trial = newId();
         trials.set(trial, "asked");
-        commit.submitAlways({ kind: "trial", digest, trial });
+        commit.submit({ kind: "trial", digest, trial });
         await changes.wait(trial, longestTrialStartMilliseconds, signal);
         const settled = trials.get(trial);
         if (settled === "first" && !signal.aborted && verdict(digest) === "on-trial") {
@@ -180,7 +182,7 @@
         }
         trials.delete(trial);
         if (settled === "first") {
-            commit.submitAlways({ kind: "withdraw", digest, trial });
+            commit.submitLater({ kind: "withdraw", digest, trial });
         }
         return err(settled === "first" || settled === "not-first" ? "not-first" : "log-unavailable");
     };
@@ -221,7 +223,7 @@
         reportCrash: digests => tell({ id: newId(), digests: [...new Set(digests)], isTrial: false }),
         reportCompletion: digest => {
             if (verdict(digest) === "suspect") {
-                commit.submitAlways({ kind: "clear", digest, by: agent });
+                commit.submitLater({ kind: "clear", digest, by: agent });
             }
         },
         beginTrial,
--- a/src/programs/bench.ts
+++ b/src/programs/bench.ts
@@ -103,6 +103,7 @@
         "rate": { type: "string", default: "10000", description: "planned claims a second" },
         "seconds": { type: "string", default: "5" },
         "agents": { type: "string", default: "3" },
+        "service": { type: "string", default: "bench", description: "runs at the same time share its claims stream" },
         "appends": { type: "string", default: "300", description: "appends a second that the log takes" },
         "latencies": { type: "string", default: "2,20,200", description: "latencies of the log in milliseconds" },
         "output": sharedArguments.output,
@@ -112,6 +113,8 @@
     run: async ({ args }) => {
         const options = {
             platform: args.platform,
+            service: args.service,
+            name: newId(),
             agents: Number(args.agents),
             ratePerSecond: Number(args.rate),
             seconds: Number(args.seconds),
