--- a/src/bench/loadExperiment.ts
+++ b/src/bench/loadExperiment.ts
@@ -52,12 +52,20 @@
                 ...usage,
                 ...costRows(shares.slice(0, daemons.length), deployment.entries.length, seconds, relayed),
             ],
-            charts: [{
-                title: "First token, 95th percentile of each second",
-                xLabel: "seconds",
-                yLabel: "ms",
-                series: [relayed.firstTokenSeries(), ...(directShare > 0 ? [direct.firstTokenSeries()] : [])],
-            }],
+            charts: [
+                {
+                    title: "First token, 95th percentile of each second",
+                    xLabel: "seconds",
+                    yLabel: "ms",
+                    series: [relayed.firstTokenSeries(), ...(directShare > 0 ? [direct.firstTokenSeries()] : [])],
+                },
+                {
+                    title: "Tokens that reached callers",
+                    xLabel: "seconds",
+                    yLabel: "tokens/s",
+                    series: [relayed.tokenSeries(), ...(directShare > 0 ? [direct.tokenSeries()] : [])],
+                },
+            ],
         };
     };
 
