--- a/tests/settingsSpread.test.ts
+++ b/tests/settingsSpread.test.ts
@@ -42,19 +42,20 @@
 
     const startDaemon = (host: string, seeds?: string[]) => {
         const stream = log.connect();
-        let relay: Relay | undefined;
+        const started: { relay?: Relay; } = {};
         const isReader = createLogReaderRole({
             host,
             availabilityZone: "savo",
             hosts: () => hosts,
-            relay: () => relay?.status(),
+            relay: () => started.relay?.status(),
             clock,
         });
         const follower = startSettingsFollower({ stream, clock, random, signal: controller.signal, isReader });
         const own = [settingsTopic(follower, decodeSettingsUpdate)];
         const peers = () => seeds ?? [...topics.keys()].filter(other => other !== host);
         topics.set(host, own);
-        relay = startRelay({ topics: own, peers, exchange, clock, random, signal: controller.signal });
+        const relay = startRelay({ topics: own, peers, exchange, clock, random, signal: controller.signal });
+        started.relay = relay;
         const zoneState = (zone: string) => availabilityZoneSettings(follower.state(), zone)._unsafeUnwrap().state;
         return { host, stream, follower, relay, isReader, zoneState };
     };
