--- a/tests/goldenSessions.test.ts
+++ b/tests/goldenSessions.test.ts
@@ -103,6 +103,30 @@
         expectGolden("dispatchAndResend", [...first, ...second, ...claims, `service runs ${runs.length}`]);
     });
 
+    it("a request that crashes upstreams, and its resend", async () => {
+        deployment = await startDeployment(oneGroup(3, ["--starts-warm"]));
+        const first = await streamed("crash-upstream", 4);
+        const second = await streamed("crash-upstream", 4);
+        expectGolden("quarantine", [...first, ...second, ...exchanges(), ...await logRecords("quarantine")]);
+    });
+
+    it("the first expert map of a group", async () => {
+        const mapOptions = ["--expert-maps", "--layers", "1", "--experts", "4", "--starts-warm", "--checks-fence"];
+        const settings = { layers: 1, expertsPerLayer: 4, slotsPerRank: 3, expertMaps: true };
+        deployment = await startDeployment({
+            entries: [],
+            groups: [{ group: "council", availabilityZone: "medina", ranks: 2, engine: mapOptions, settings }],
+            records: true,
+        });
+        const [engine] = deployment.engines.get("council")!.addresses;
+        let maps: number[] = [];
+        while (!maps.some(map => map >= 0)) {
+            const { steps } = await getJson<{ steps: { map: number; }[]; }>(`http://${engine}/record`);
+            maps = [...new Set(steps.map(({ map }) => map))];
+        }
+        expectGolden("mapSwitch", [...await logRecords("groups/council"), `maps of all steps: ${maps.join(", ")}`]);
+    });
+
     it("two operators whose changes conflict", async () => {
         deployment = await startDeployment(oneGroup(1));
         const path = "clientAccounts/portal";
