--- a/tests/atMostOnceProcesses.test.ts
+++ b/tests/atMostOnceProcesses.test.ts
@@ -59,7 +59,11 @@
     };
 
     /** Both agents have read the claims and take calls. */
-    const serving = (): Promise<void> => until(async () => (await send(0, uuid())).outcome === "complete");
+    const serving = (): Promise<void> =>
+        until(async () => {
+            const answers = await Promise.all(Array.from({ length: 8 }, (unused, index) => send(index % 2, uuid())));
+            return answers.every(({ outcome }) => outcome === "complete");
+        });
 
     const service = (): string => `http://${deployment.services.get("dispatch")!.address}`;
 
@@ -134,6 +138,7 @@
         await setLogFaults({ outage: false });
         await until(async () => (await send(1, key)).outcome === "complete");
         expect(await runsOf(key)).to.equal(1);
+        await serving();
     });
 
     it("replays an answer that the service gave while the log was down", async () => {
