--- a/src/programs/bench.ts
+++ b/src/programs/bench.ts
@@ -93,50 +93,6 @@
     },
 });
 
-const skew = defineCommand({
-    meta: { name: "skew", description: "placement of experts on seeded traces, beside two baselines" },
-    args: {
-        "seed": sharedArguments.seed,
-        "seconds": { type: "string", default: "900", description: "length of each trace" },
-        "layers": { type: "string", default: "6", description: "layers of the traces" },
-        "tokens-per-step": { type: "string", default: "16384" },
-        "output": sharedArguments.output,
-        "compare": sharedArguments.compare,
-        "commit": sharedArguments.commit,
-        "name": sharedArguments.name,
-    },
-    run: async ({ args }) => {
-        const options = {
-            seed: Number(args.seed),
-            seconds: Number(args.seconds),
-            layers: Number(args.layers),
-            tokensPerStep: Number(args["tokens-per-step"]),
-        };
-        const run = identifyRun(args.name ?? "skew", options.seed, args.commit, options);
-        const { rows, charts } = runSkewExperiments(options);
-        await publishReport({ run, rows, charts }, args.output, args.compare);
-        process.exitCode = rows.every(meetsTarget) ? 0 : missedTargetStatus;
-    },
-});
-
-const routing = defineCommand({
-    meta: {
-        name: "routing",
-        description: "policies of routing and admission against plainer ones, without a deployment",
-    },
-    args: {
-        seed: sharedArguments.seed,
-        output: sharedArguments.output,
-        compare: sharedArguments.compare,
-        commit: sharedArguments.commit,
-    },
-    run: async ({ args }) => {
-        const seed = Number(args.seed);
-        const run = identifyRun("routing", seed, args.commit, {});
-        await publishReport({ run, rows: await routingExperiment(seed), charts: [] }, args.output, args.compare);
-    },
-});
-
 const claimCommit = defineCommand({
     meta: { name: "claim-commit", description: "claims that one append carries, and the latency that a claim adds" },
     args: {
@@ -181,6 +137,50 @@
     },
 });
 
+const skew = defineCommand({
+    meta: { name: "skew", description: "placement of experts on seeded traces, beside two baselines" },
+    args: {
+        "seed": sharedArguments.seed,
+        "seconds": { type: "string", default: "900", description: "length of each trace" },
+        "layers": { type: "string", default: "6", description: "layers of the traces" },
+        "tokens-per-step": { type: "string", default: "16384" },
+        "output": sharedArguments.output,
+        "compare": sharedArguments.compare,
+        "commit": sharedArguments.commit,
+        "name": sharedArguments.name,
+    },
+    run: async ({ args }) => {
+        const options = {
+            seed: Number(args.seed),
+            seconds: Number(args.seconds),
+            layers: Number(args.layers),
+            tokensPerStep: Number(args["tokens-per-step"]),
+        };
+        const run = identifyRun(args.name ?? "skew", options.seed, args.commit, options);
+        const { rows, charts } = runSkewExperiments(options);
+        await publishReport({ run, rows, charts }, args.output, args.compare);
+        process.exitCode = rows.every(meetsTarget) ? 0 : missedTargetStatus;
+    },
+});
+
+const routing = defineCommand({
+    meta: {
+        name: "routing",
+        description: "policies of routing and admission against plainer ones, without a deployment",
+    },
+    args: {
+        seed: sharedArguments.seed,
+        output: sharedArguments.output,
+        compare: sharedArguments.compare,
+        commit: sharedArguments.commit,
+    },
+    run: async ({ args }) => {
+        const seed = Number(args.seed);
+        const run = identifyRun("routing", seed, args.commit, {});
+        await publishReport({ run, rows: await routingExperiment(seed), charts: [] }, args.output, args.compare);
+    },
+});
+
 const main = defineCommand({
     meta: { name: "cyclamengap-bench", description: "load and experiments on a running deployment" },
     subCommands: {
