--- a/src/transport/daemonCore.ts
+++ b/src/transport/daemonCore.ts
@@ -3,6 +3,7 @@
  * snapshot duty and the routes for peers and operators.
  */
 import type { Hono } from "hono";
+import { setMaxListeners } from "node:events";
 import { type HostListFollower, hostListTopic, startHostListFollower } from "../coordination/hostListFollower.js";
 import { createLogReaderRole } from "../coordination/logReaders.js";
 import { createMetrics, type Metrics } from "../coordination/metrics.js";
@@ -54,6 +55,8 @@
     logger: Logger,
     signal: AbortSignal,
 ): DaemonCore => {
+    // Each task of the daemon listens to the one signal that stops it.
+    setMaxListeners(0, signal);
     const clock = systemClock;
     const metrics = createMetrics();
     const stream = createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" });
