--- a/src/programs/cyclamengap.ts
+++ b/src/programs/cyclamengap.ts
@@ -6,6 +6,7 @@
  * 3 when the platform or a daemon could not be reached or an outcome could not be settled in time.
  */
 import { defineCommand, runMain } from "citty";
+import { experts } from "./commands/experts.js";
 import { dump, log } from "./commands/inspect.js";
 import { quarantine } from "./commands/quarantine.js";
 import { settings } from "./commands/settings.js";
@@ -16,7 +17,7 @@
         name: "cyclamengap",
         description: "settings, availability zones, quarantine and the state of a deployment",
     },
-    subCommands: { settings, zone, quarantine, dump, log },
+    subCommands: { settings, zone, quarantine, experts, dump, log },
 });
 
 await runMain(main);
--- a/src/transport/rankMaps.ts
+++ b/src/transport/rankMaps.ts
@@ -9,11 +9,11 @@
 import { startGroupLog } from "../coordination/groupLog.js";
 import { runMapCoordinator } from "../coordination/mapCoordinator.js";
 import { defaultLeadSteps, type MapSwitch, startMapSwitch } from "../coordination/mapSwitch.js";
-import { defaultPlacementSettings, planPlacement } from "../coordination/placement.js";
+import { defaultPlacementSettings, type PlacementSettings, planPlacement } from "../coordination/placement.js";
 import type { AgentConfig } from "../protocol/daemonConfig.js";
 import { decodeGroupRecord, groupStreamName } from "../protocol/groupRecords.js";
 import type { GroupSettings } from "../protocol/settingsSchema.js";
-import { type ExpertMap, stepSkew, uniformMap } from "../state/expertMap.js";
+import { type ExpertMap, type GroupLoad, stepSkew, uniformMap } from "../state/expertMap.js";
 import type { GroupRecord } from "../state/groupFold.js";
 import type { DaemonCore, Tokens } from "./daemonCore.js";
 import { addGroupRoutes, createGroupPeers, type GroupPeers } from "./groupPeers.js";
@@ -33,11 +33,18 @@
     describe: () => unknown;
 };
 
+/** What a plan for the group may spend, by its settings. */
+export const placementSettingsOf = (group: GroupSettings): PlacementSettings => ({
+    ...defaultPlacementSettings,
+    bytesPerExpert: group.expertBytes,
+    storeBytesPerSecond: group.weightStoreBytesPerSecond,
+});
+
 /** Plans on the ranks' load reports: at intervals, and at once when the predicted skew is high. */
 const createPlanner = (settings: () => GroupSettings | undefined, peers: GroupPeers, signal: AbortSignal) => {
     let estimate = emptyEstimate(0);
     let plannedAt = -Infinity;
-    return async (present: ExpertMap | undefined): Promise<ExpertMap | undefined> => {
+    const plan = async (present: ExpertMap | undefined): Promise<ExpertMap | undefined> => {
         const group = settings();
         if (group === undefined) {
             return undefined;
@@ -56,13 +63,10 @@
             return undefined;
         }
         plannedAt = now;
-        const plan = planPlacement(map, load, {
-            ...defaultPlacementSettings,
-            bytesPerExpert: group.expertBytes,
-            storeBytesPerSecond: group.weightStoreBytesPerSecond,
-        });
-        return plan.kind === "keep" ? undefined : plan.map;
+        const planned = planPlacement(map, load, placementSettingsOf(group));
+        return planned.kind === "keep" ? undefined : planned.map;
     };
+    return { plan, load: (): GroupLoad | undefined => estimate.interval < 0 ? undefined : groupLoadOf(estimate) };
 };
 
 /** Starts what the settings call for: nothing, unless the group's engines switch expert maps by promises. */
@@ -83,6 +87,7 @@
         expertLoad: (other, until) => other === rank ? ownLoad(until) : remote.expertLoad(other, until),
     };
     let mapSwitch: MapSwitch | undefined;
+    let load = (): GroupLoad | undefined => undefined;
     // Every task of every peer listens to the signal.
     setMaxListeners(0, signal);
     addGroupRoutes(application, { mapSwitch: () => mapSwitch, expertLoad: ownLoad, signal }, tokens.peerToken);
@@ -94,8 +99,9 @@
         const parts = { rank, ranks, incarnation, peers, log, clock: systemClock, signal };
         const engine = createMapEngineClient(address);
         mapSwitch = startMapSwitch({ ...parts, engine, leadSteps: defaultLeadSteps });
-        const plan = createPlanner(settings, peers, signal);
-        void runMapCoordinator({ ...parts, mapSwitch, stream, plan, newId: randomUUID });
+        const planner = createPlanner(settings, peers, signal);
+        load = planner.load;
+        void runMapCoordinator({ ...parts, mapSwitch, stream, plan: planner.plan, newId: randomUUID });
     };
 
     const run = async (): Promise<void> => {
@@ -112,6 +118,11 @@
 
     return {
         describe: () =>
-            mapSwitch && { ...mapSwitch.news(), heard: [...mapSwitch.heard().values()].map(({ news }) => news) },
+            mapSwitch && {
+                ...mapSwitch.news(),
+                heard: [...mapSwitch.heard().values()].map(({ news }) => news),
+                present: mapSwitch.newestCommit()?.map,
+                load: load(),
+            },
     };
 };
--- a/tests/expertMapProcesses.test.ts
+++ b/tests/expertMapProcesses.test.ts
@@ -6,7 +6,7 @@
 import type { StepRecord } from "../src/standin/modelEngine.js";
 import { type Deployment, getJson, postJson, startDeployment } from "./support/deployment.js";
 import { mixedSteps } from "./support/mapFleet.js";
-import { killAllPrograms } from "./support/processes.js";
+import { killAllPrograms, startProgram } from "./support/processes.js";
 
 type GroupDump = { step: number; formation: number; steps: StepRecord[]; };
 
@@ -52,6 +52,14 @@
         expect(mixedSteps(dump.steps)).to.deep.equal([]);
     });
 
+    it("shows operators the present map and the plan", async () => {
+        const { url } = deployment.platform;
+        const program = startProgram("cyclamengap", ["experts", "plan", "--group", "council", "--platform", url]);
+        expect(await program.exited).to.equal(0);
+        expect(program.output()).to.match(/present map: commit \d+, predicted skew 1\.0/);
+        expect(program.output()).to.match(/planned: keep/);
+    });
+
     it("goes on after a killed agent and a crashed rank while the log is out", async () => {
         const committed = lastMap(await record());
         await postJson(`${deployment.platform.url}/faults`, { log: { outage: true } });
