--- a/src/coordination/mapCoordinator.ts
+++ b/src/coordination/mapCoordinator.ts
@@ -19,6 +19,7 @@
 /** Silence after which the coordinator counts as gone; each further rank waits a little longer, so that one claims. */
 const suspicionMilliseconds = 5_000;
 const suspicionStepMilliseconds = 1_000;
+const snapshotShareOfRetention = 0.25;
 const prepareAttempts = 3;
 const newsMaximumAgeMilliseconds = 3_000;
 
@@ -33,6 +34,8 @@
     /** The map that should follow `present` (undefined for the initial map), or undefined to keep it. */
     plan: (present: ExpertMap | undefined) => Promise<ExpertMap | undefined>;
     newId: () => string;
+    /** How long the log keeps a record; the coordinator repeats the state four times in it. */
+    retentionMilliseconds: number;
     clock: Clock;
     signal: AbortSignal;
 };
@@ -43,6 +46,7 @@
     const others = [...Array(ranks).keys()].filter(other => other !== rank);
     let quietSince = clock.now();
     let quietFence: number | undefined = -1;
+    let repeatedAt = clock.now();
 
     const isHeard = (coordinator: Coordinator | undefined): boolean => {
         const told = coordinator === undefined ? undefined : mapSwitch.heard().get(coordinator.rank);
@@ -109,9 +113,19 @@
         }
     };
 
+    /** Repeats the state in a snapshot before retention drops the records that it came from. */
+    const repeatState = async (): Promise<void> => {
+        if (clock.now() - repeatedAt < options.retentionMilliseconds * snapshotShareOfRetention) {
+            return;
+        }
+        const appended = await stream.append({ kind: "snapshot", state: log.state() }, signal);
+        repeatedAt = appended.isOk() ? clock.now() : repeatedAt;
+    };
+
     while (!signal.aborted) {
         const { coordinator } = log.state();
         if (coordinator?.incarnation === incarnation) {
+            await repeatState();
             await lead(coordinator);
         }
         else if (log.atEnd() && suspects(coordinator)) {
--- a/src/transport/rankMaps.ts
+++ b/src/transport/rankMaps.ts
@@ -22,6 +22,7 @@
 import { createMapEngineClient, readExpertLoad } from "./mapEngineClient.js";
 import { systemClock } from "./systemClock.js";
 
+const millisecondsPerMinute = 60_000;
 const settingsPollMilliseconds = 200;
 const planIntervalMilliseconds = 10_000;
 const urgentSkew = 1.15;
@@ -101,7 +102,14 @@
         mapSwitch = startMapSwitch({ ...parts, engine, leadSteps: defaultLeadSteps });
         const planner = createPlanner(settings, peers, signal);
         load = planner.load;
-        void runMapCoordinator({ ...parts, mapSwitch, stream, plan: planner.plan, newId: randomUUID });
+        void runMapCoordinator({
+            ...parts,
+            mapSwitch,
+            stream,
+            plan: planner.plan,
+            newId: randomUUID,
+            retentionMilliseconds: config.logRetentionMinutes * millisecondsPerMinute,
+        });
     };
 
     const run = async (): Promise<void> => {
--- a/tests/mapSwitch.test.ts
+++ b/tests/mapSwitch.test.ts
@@ -4,6 +4,7 @@
  */
 import { expect } from "chai";
 import fc from "fast-check";
+import { uniformMap } from "../src/state/expertMap.js";
 import { advanceUntil } from "./support/advance.js";
 import { type MapFleet, mixedSteps, shape, startMapFleet } from "./support/mapFleet.js";
 
@@ -63,6 +64,30 @@
         expect(fleet.group.steps.some(({ map }) => map === late[0]!.offset)).to.equal(false);
         expect(mixedSteps(fleet.group.steps)).to.deep.equal([]);
         expect(newestEverywhere(fleet, claims[1]!)).to.equal(true);
+        const stale = await fleet.agents[2]!.mapSwitch.prepare(
+            claims[0]!,
+            { plan: "late", map: uniformMap(shape) },
+            new AbortController().signal,
+        );
+        expect(stale.isErr()).to.equal(true);
+        fleet.stop();
+    });
+
+    it("keeps the newest commit through retention and a restart of every agent", async () => {
+        const fleet = startMapFleet(4, 100_000, 8_000);
+        await advanceUntil(fleet.clock, () => newestEverywhere(fleet, 0), 120_000);
+        const [commit] = commitsOf(fleet) as [number];
+        const hasSnapshot = (): boolean =>
+            fleet.log.records.some(({ body }) => body.kind === "snapshot" && body.state.commit?.commit === commit);
+        await advanceUntil(fleet.clock, hasSnapshot);
+        fleet.log.dropBelow(commit + 1);
+        [0, 1, 2].forEach(fleet.restartAgent);
+        await fleet.clock.run(1_000);
+        expect(fleet.agents.map(agent => agent.mapSwitch.newestCommit()?.commit)).to.deep.equal([
+            commit,
+            commit,
+            commit,
+        ]);
         fleet.stop();
     });
 
--- a/tests/support/mapFleet.ts
+++ b/tests/support/mapFleet.ts
@@ -49,7 +49,11 @@
     return [...maps].filter(([, used]) => used.size > 1).map(([key]) => key);
 };
 
-export const startMapFleet = (seed: number, planEveryMilliseconds = 1_500): MapFleet => {
+export const startMapFleet = (
+    seed: number,
+    planEveryMilliseconds = 1_500,
+    retentionMilliseconds = 60_000,
+): MapFleet => {
     const clock = steppedClock(1_000);
     const random: RandomNumber = seededRandom(seed);
     const stopAll = new AbortController();
@@ -189,6 +193,7 @@
                 return uniformMap(shape);
             },
             newId: () => `plan-${names++}`,
+            retentionMilliseconds,
         });
         return agent;
     };
