--- a/tests/mapSwitch.test.ts
+++ b/tests/mapSwitch.test.ts
@@ -94,8 +94,8 @@
     const event = fc.record({
         at: fc.integer({ min: 500, max: 9_000 }),
         rank: fc.integer({ min: 0, max: shape.ranks - 1 }),
-        kind: fc.constantFrom("crash-rank", "restart-agent", "pause-agent", "cut-off", "log-out"),
-        milliseconds: fc.integer({ min: 50, max: 3_000 }),
+        kind: fc.constantFrom("crash-rank", "restart-agent", "pause-agent", "cut-off", "log-out", "commit-at-once"),
+        milliseconds: fc.oneof(fc.integer({ min: 5, max: 120 }), fc.integer({ min: 50, max: 3_000 })),
     });
 
     type Happening = { at: number; rank: number; kind: string; milliseconds: number; };
@@ -109,6 +109,10 @@
             fleet.restartAgent(rank);
             return () => undefined;
         },
+        "commit-at-once": fleet => {
+            fleet.commitAtOnce();
+            return fleet.commitAtOnce;
+        },
         "pause-agent": (fleet, { rank, milliseconds }) => {
             fleet.agents[rank]!.pausedUntil = fleet.clock.now() + milliseconds;
             return () => undefined;
@@ -131,7 +135,7 @@
         let steps = 0;
         let maps = 0;
         await fc.assert(
-            fc.asyncProperty(fc.integer(), fc.array(event, { maxLength: 8 }), async (seed, events) => {
+            fc.asyncProperty(fc.integer(), fc.array(event, { maxLength: 12 }), async (seed, events) => {
                 const fleet = startMapFleet(seed, 700);
                 fleet.faults.lossRate = 0.1;
                 fleet.faults.delayMilliseconds = 8;
--- a/tests/support/mapFleet.ts
+++ b/tests/support/mapFleet.ts
@@ -35,6 +35,8 @@
     /** Part of the messages between agents, and to engines, that are lost; half of them after they took effect. */
     faults: { lossRate: number; delayMilliseconds: number; cutOff: Set<number>; };
     restartAgent: (rank: number) => void;
+    /** Appends a valid commit without regard to the one before, as the protocol must bear it. */
+    commitAtOnce: () => void;
     crashRank: (rank: number) => void;
     stop: () => void;
 };
@@ -208,6 +210,11 @@
             fleet.agents[rank]!.stop.abort();
             fleet.agents[rank] = startAgent(rank);
         },
+        commitAtOnce: () => {
+            const fence = log.records.findLast(({ body }) => body.kind === "coordinate")?.offset ?? -1;
+            const commit: GroupRecord = { kind: "commit", fence, plan: `plan-${names++}`, map: uniformMap(shape) };
+            void log.open().append(commit, stopAll.signal);
+        },
         crashRank: rank => {
             const { rank: engineRank } = group.seats[rank]!;
             if (!engineRank.down) {
