Offer hot experts to slower ranks that have room when the fastest have none

Cause: only the three fastest ranks were tried, and where these held experts without another replica the layer got no candidate at all. The new test fails before and passes after.

--- a/src/coordination/layerPlacement.ts
+++ b/src/coordination/layerPlacement.ts
@@ -78,10 +78,14 @@
     const found: LayerMove[][] = [];
     for (const expert of hot) {
         const holders = layer.holders[expert] as number[];
-        const targets = order.filter(rank => !holders.includes(rank)).slice(0, candidateRanks);
-        for (const rank of targets) {
-            for (const replaces of freeSlots(layer, rank, slotsPerRank).slice(0, 2)) {
-                found.push([{ rank, expert, replaces }]);
+        // A fast rank whose experts have no other replica has no room, so the next fastest takes its place.
+        let targets = 0;
+        for (const rank of order) {
+            const free = holders.includes(rank) ? [] : freeSlots(layer, rank, slotsPerRank).slice(0, 2);
+            found.push(...free.map(replaces => [{ rank, expert, replaces }]));
+            targets += free.length > 0 ? 1 : 0;
+            if (targets === candidateRanks) {
+                break;
             }
         }
     }
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -81,6 +81,16 @@
         expect(ranksWithoutNewWork(stalledSpeeds)).to.deep.equal([0]);
     });
 
+    it("copies a hot expert past fast ranks that have no room to a slower one that has", () => {
+        const whole = (...experts: number[]) => experts.map(expert => ({ expert, share: expert === 7 ? 0.5 : 1 }));
+        const layer = [whole(0, 7), whole(1, 2), whole(3, 4), whole(5, 6), whole(7, 8)];
+        const light = 0.25 / 6;
+        const load = { layers: [[0.5, light, light, light, light, light, light, 0.15, 0.1]], speeds: [1, 1, 1, 1, 1] };
+        const plan = planPlacement({ experts: 9, slotsPerRank: 2, layers: [layer] }, load);
+        expect(plan.moves).to.deep.include({ layer: 0, rank: 4, expert: 0, replaces: 7 });
+        expect(stepTime(plan.map, load).slowest).to.be.below(0.4);
+    });
+
     it("levels a map without spare slots by exchanging experts", () => {
         const tight = { ...shape, slotsPerRank: 2 };
         const load = skewedLoad(6);
