--- a/tests/mapSwitch.test.ts
+++ b/tests/mapSwitch.test.ts
@@ -4,6 +4,7 @@
  */
 import { expect } from "chai";
 import fc from "fast-check";
+import { uniformMap } from "../src/state/expertMap.js";
 import { advanceUntil } from "./support/advance.js";
 import { type MapFleet, mixedSteps, shape, startMapFleet } from "./support/mapFleet.js";
 
@@ -63,14 +64,38 @@
         expect(fleet.group.steps.some(({ map }) => map === late[0]!.offset)).to.equal(false);
         expect(mixedSteps(fleet.group.steps)).to.deep.equal([]);
         expect(newestEverywhere(fleet, claims[1]!)).to.equal(true);
+        const stale = await fleet.agents[2]!.mapSwitch.prepare(
+            claims[0]!,
+            { plan: "late", map: uniformMap(shape) },
+            new AbortController().signal,
+        );
+        expect(stale.isErr()).to.equal(true);
+        fleet.stop();
+    });
+
+    it("keeps the newest commit through retention and a restart of every agent", async () => {
+        const fleet = startMapFleet(4, 100_000, 8_000);
+        await advanceUntil(fleet.clock, () => newestEverywhere(fleet, 0), 120_000);
+        const [commit] = commitsOf(fleet) as [number];
+        const hasSnapshot = (): boolean =>
+            fleet.log.records.some(({ body }) => body.kind === "snapshot" && body.state.commit?.commit === commit);
+        await advanceUntil(fleet.clock, hasSnapshot);
+        fleet.log.dropBelow(commit + 1);
+        [0, 1, 2].forEach(fleet.restartAgent);
+        await fleet.clock.run(1_000);
+        expect(fleet.agents.map(agent => agent.mapSwitch.newestCommit()?.commit)).to.deep.equal([
+            commit,
+            commit,
+            commit,
+        ]);
         fleet.stop();
     });
 
     const event = fc.record({
         at: fc.integer({ min: 500, max: 9_000 }),
         rank: fc.integer({ min: 0, max: shape.ranks - 1 }),
-        kind: fc.constantFrom("crash-rank", "restart-agent", "pause-agent", "cut-off", "log-out"),
-        milliseconds: fc.integer({ min: 50, max: 3_000 }),
+        kind: fc.constantFrom("crash-rank", "restart-agent", "pause-agent", "cut-off", "log-out", "commit-at-once"),
+        milliseconds: fc.oneof(fc.integer({ min: 5, max: 120 }), fc.integer({ min: 50, max: 3_000 })),
     });
 
     type Happening = { at: number; rank: number; kind: string; milliseconds: number; };
@@ -84,6 +109,10 @@
             fleet.restartAgent(rank);
             return () => undefined;
         },
+        "commit-at-once": fleet => {
+            fleet.commitAtOnce();
+            return fleet.commitAtOnce;
+        },
         "pause-agent": (fleet, { rank, milliseconds }) => {
             fleet.agents[rank]!.pausedUntil = fleet.clock.now() + milliseconds;
             return () => undefined;
@@ -106,7 +135,7 @@
         let steps = 0;
         let maps = 0;
         await fc.assert(
-            fc.asyncProperty(fc.integer(), fc.array(event, { maxLength: 8 }), async (seed, events) => {
+            fc.asyncProperty(fc.integer(), fc.array(event, { maxLength: 12 }), async (seed, events) => {
                 const fleet = startMapFleet(seed, 700);
                 fleet.faults.lossRate = 0.1;
                 fleet.faults.delayMilliseconds = 8;
