--- a/src/coordination/retryPolicy.ts
+++ b/src/coordination/retryPolicy.ts
@@ -3,7 +3,8 @@
  *
  * What ran nothing, or moves on from where it was, costs the upstreams no work twice and is free. What may have worked in
  * vain counts against the request's own retries and takes from the entry's budget. A crash always counts, since the
- * request itself may be its cause. However its attempts fail, a request has only so many.
+ * request itself may be its cause. However they fail, a request has only so many attempts
+ * that were sent to run.
  */
 import type { ErrorCode } from "../state/errors.js";
 import type { AttemptFailure } from "./attempts.js";
@@ -44,7 +45,8 @@
     let counted = 0;
     return {
         mayRetry: (failure, progressed) => {
-            attempts += 1;
+            // A refusal with a load report corrects the entry's view; the request then waits until its deadline at most.
+            attempts += failure.kind === "refused" && failure.load !== undefined ? 0 : 1;
             const cost = costOf(failure, progressed);
             if (cost === "final" || attempts >= largestNumberOfAttempts) {
                 return false;
