--- a/src/coordination/hostListFollower.ts
+++ b/src/coordination/hostListFollower.ts
@@ -24,8 +24,8 @@
 };
 
 export type HostListOptions = {
-    /** Reads the list from the platform. */
-    read: (signal: AbortSignal) => Promise<Result<HostList, HostListFailure>>;
+    /** Reads the list from the platform; gives undefined if it still is at `knownVersion`. */
+    read: (knownVersion: number, signal: AbortSignal) => Promise<Result<HostList | undefined, HostListFailure>>;
     pollMilliseconds: number;
     clock: Clock;
     signal: AbortSignal;
@@ -46,8 +46,11 @@
 
     const follow = async (): Promise<void> => {
         while (!signal.aborted) {
-            const answer = await read(signal);
-            answer.match(adopt, () => undefined);
+            const answer = await read(list.version, signal);
+            const newer = answer.unwrapOr(undefined);
+            if (newer !== undefined) {
+                adopt(newer);
+            }
             failure = answer.isErr() ? answer.error.reason : undefined;
             await clock.sleep(pollMilliseconds, signal);
         }
--- a/src/standin/hostList.ts
+++ b/src/standin/hostList.ts
@@ -26,7 +26,11 @@
                 return context.json({ error: "the host list is not available" }, 503);
             }
             const { version, hosts } = this.visible();
-            return context.json({ version, hosts });
+            const tag = `"${version}"`;
+            context.header("etag", tag);
+            return context.req.header("if-none-match") === tag
+                ? context.body(null, 304)
+                : context.json({ version, hosts });
         });
         app.put("/hosts/:host", async context => {
             const host = context.req.param("host");
--- a/src/transport/daemonCore.ts
+++ b/src/transport/daemonCore.ts
@@ -18,7 +18,7 @@
 import { decodeSettingsUpdate, decodeZoneOrders } from "../protocol/settingsUpdate.js";
 import type { HostRecord, SettingsRecord } from "../state/types.js";
 import { addOperatorRoutes } from "./daemonRoutes.js";
-import { readHostList } from "./hostListClient.js";
+import { readNewerHostList } from "./hostListClient.js";
 import type { NodeBindings } from "./httpServer.js";
 import { createLogClient } from "./logClient.js";
 import type { Logger } from "./logger.js";
@@ -61,7 +61,7 @@
     const metrics = createMetrics();
     const stream = createLogClient<SettingsRecord>({ platform: config.platform, stream: "settings" });
     const hostList = startHostListFollower({
-        read: readSignal => readHostList(config.platform, readSignal),
+        read: (knownVersion, readSignal) => readNewerHostList(config.platform, knownVersion, readSignal),
         pollMilliseconds: hostListPollMilliseconds,
         clock,
         signal,
--- a/src/transport/hostListClient.ts
+++ b/src/transport/hostListClient.ts
@@ -1,7 +1,10 @@
 /**
  * The platform's host list over HTTP.
+ *
+ * Daemons poll it with the entity tag of the version that they hold, so that an unchanged list costs an answer without a
+ * body: at some thousand hosts the list is far larger than what a daemon may spend on control in a second.
  */
-import { err, type Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { request } from "undici";
 import type { HostList, HostListFailure } from "../coordination/hostListFollower.js";
 import { describeDecodingError } from "../protocol/decoding.js";
@@ -10,23 +13,35 @@
 
 const timeoutMilliseconds = 2_000;
 const okStatus = 200;
+const notModifiedStatus = 304;
 
-/** Reads the list of the platform at `platform` (`http://ip:port`). */
-export const readHostList = async (
+const answerWithoutList: HostListFailure = {
+    kind: "unavailable",
+    reason: "the host list answered without a list",
+};
+
+/** A version that no list has, for a reader that holds none. */
+const noVersion = -1;
+
+/** Reads the list of the platform at `platform` (`http://ip:port`); gives undefined if it is at `knownVersion`. */
+export const readNewerHostList = async (
     platform: string,
+    knownVersion: number,
     signal: AbortSignal,
-): Promise<Result<HostList, HostListFailure>> => {
+): Promise<Result<HostList | undefined, HostListFailure>> => {
     const bounded = boundSignal(signal, timeoutMilliseconds);
     try {
-        const answer = await request(`${platform}/hosts`, { signal: bounded.signal });
+        const headers = knownVersion === noVersion ? {} : { "if-none-match": `"${knownVersion}"` };
+        const answer = await request(`${platform}/hosts`, { headers, signal: bounded.signal });
         const text = await answer.body.text();
+        if (answer.statusCode === notModifiedStatus) {
+            return ok(undefined);
+        }
         if (answer.statusCode !== okStatus) {
             return err({ kind: "unavailable", reason: `the host list answered status ${answer.statusCode}` });
         }
-        return decodeHostList(text).mapErr(failure => ({
-            kind: "unavailable",
-            reason: describeDecodingError(failure),
-        }));
+        return decodeHostList(text)
+            .mapErr(failure => ({ kind: "unavailable", reason: describeDecodingError(failure) }));
     }
     catch (error) {
         return err({ kind: "unavailable", reason: (error as Error).message });
@@ -35,3 +50,12 @@
         bounded.release();
     }
 };
+
+/** Reads the whole list. */
+export const readHostList = async (
+    platform: string,
+    signal: AbortSignal,
+): Promise<Result<HostList, HostListFailure>> =>
+    (await readNewerHostList(platform, noVersion, signal)).andThen(list =>
+        list === undefined ? err(answerWithoutList) : ok(list)
+    );
--- a/tests/standins.test.ts
+++ b/tests/standins.test.ts
@@ -3,6 +3,7 @@
 import { startPlainService } from "../src/standin/plainService.js";
 import { startPlatform } from "../src/standin/platform.js";
 import { expectedAnswer } from "../src/standin/tokens.js";
+import { readNewerHostList } from "../src/transport/hostListClient.js";
 import { systemClock as clock } from "../src/transport/systemClock.js";
 import { virtualClock } from "./support/virtualClock.js";
 
@@ -81,6 +82,16 @@
         });
     });
 
+    it("sends the host list again only when it has changed", async () => {
+        const { address, hosts } = await startPlatform({ listen, clock, signal: stop.signal });
+        const platform = `http://${address}`;
+        const first = (await readNewerHostList(platform, -1, stop.signal))._unsafeUnwrap();
+        expect(first).to.deep.equal({ version: 0, hosts: [] });
+        expect((await readNewerHostList(platform, 0, stop.signal))._unsafeUnwrap()).to.equal(undefined);
+        hosts.change("entry-1");
+        expect((await readNewerHostList(platform, 0, stop.signal))._unsafeUnwrap()?.version).to.equal(1);
+    });
+
     it("shows a changed host list only after its lag", async () => {
         const { address, hosts } = await startPlatform({ listen, clock, signal: stop.signal });
         hosts.change("entry-1", {
