--- /dev/null
+++ b/src/transport/callerChecks.ts
@@ -0,0 +1,73 @@
+/**
+ * What every route for callers shares: who calls, until when the answer is due, and how a refusal is written.
+ */
+import type { Context } from "hono";
+import type { ContentfulStatusCode } from "hono/utils/http-status";
+import { err, ok, type Result } from "neverthrow";
+import { createHash } from "node:crypto";
+import type { TaskLimits } from "../coordination/completionTask.js";
+import type { EntryTasks } from "../coordination/entryTasks.js";
+import { errorBody, outcomeHeader, timeoutHeader } from "../protocol/callerRequests.js";
+import type { SettingsReader } from "../protocol/settingsReader.js";
+import type { ClientAccountSettings } from "../protocol/settingsSchema.js";
+import { type Refusal, refusal } from "../state/errors.js";
+import { bearerToken, digestOfKey } from "./tokens.js";
+
+export type CallerTools = EntryTasks & {
+    host: string;
+    settings: SettingsReader;
+    now: () => number;
+    newId: () => string;
+    /** Whether the entry is about to stop, so that its health check fails. */
+    isStopping: () => boolean;
+    onAnswer: (event: AnswerEvent) => void;
+};
+
+/** One answered request, for logs and metrics. */
+export type AnswerEvent = {
+    requestId: string;
+    clientAccount?: string;
+    outcome: string;
+    code?: string;
+    startedAt: number;
+    firstTokenAt?: number;
+    tokens?: number;
+};
+
+/** An authenticated caller, with the settings of its account. */
+export type Caller = { clientAccount: string; account: ClientAccountSettings; };
+
+/** SHA-256 digest of `parts` in their order, in hexadecimal. */
+export const digestOf = (...parts: string[]): string =>
+    createHash("sha256").update(JSON.stringify(parts)).digest("hex");
+
+/** Finds the client account that owns the API key of the request. */
+export const authenticate = (context: Context, settings: SettingsReader): Result<Caller, Refusal> => {
+    const key = bearerToken(context.req.header("authorization"));
+    const clientAccount = key === undefined ? undefined : settings.clientAccountOfKey(digestOfKey(key));
+    const account = clientAccount === undefined ? undefined : settings.clientAccount(clientAccount);
+    return clientAccount === undefined || account === undefined
+        ? err(refusal("unauthenticated"))
+        : ok({ clientAccount, account });
+};
+
+/** Writes `given` as the final answer. */
+export const refuse = (context: Context, given: Refusal): Response => {
+    context.header(outcomeHeader, given.outcome);
+    if (given.retryAfterSeconds !== undefined) {
+        context.header("retry-after", String(given.retryAfterSeconds));
+    }
+    return context.json(errorBody(given) as object, given.status as ContentfulStatusCode);
+};
+
+/** The deadline of a request that came at `now`; the caller may only shorten the time from the settings. */
+export const limitsFor = (
+    context: Context,
+    now: number,
+    timeoutMilliseconds: number,
+    maximumRetries: number,
+): TaskLimits => {
+    const asked = Number(context.req.header(timeoutHeader));
+    const timeout = asked > 0 ? Math.min(asked, timeoutMilliseconds) : timeoutMilliseconds;
+    return { deadline: now + timeout, maximumRetries };
+};
--- a/tests/badInput.test.ts
+++ b/tests/badInput.test.ts
@@ -4,6 +4,7 @@
 import { v7 as uuid } from "uuid";
 import { createSettingsReader } from "../src/protocol/settingsReader.js";
 import { refusal } from "../src/state/errors.js";
+import type { SettingsTreeNode } from "../src/state/types.js";
 import { createCallerApplication } from "../src/transport/callerServer.js";
 import { listen, type Listener } from "../src/transport/httpServer.js";
 import { digestOfKey } from "../src/transport/tokens.js";
@@ -12,7 +13,7 @@
 
 const settingsState = {
     offset: 0,
-    nodes: new Map(Object.entries({
+    nodes: new Map<string, SettingsTreeNode>(Object.entries({
         "clientAccounts/portal": { offset: 0, value: { apiKeyDigests: [digestOfKey(key)], models: ["council"] } },
         "clientAccounts/other": { offset: 0, value: { apiKeyDigests: [digestOfKey("other-key")] } },
         "clientAccounts/broken": { offset: 0, value: { apiKeyDigests: [digestOfKey("broken")], priority: "urgent" } },
@@ -156,6 +157,14 @@
         });
     }
 
+    it("holds bodies to the limit that the settings give", async () => {
+        settingsState.nodes.set("", { offset: 0, value: { maximumBodyBytes: 10 } });
+        const answer = await send("/v1/completions", completion);
+        settingsState.nodes.delete("");
+        expect(answer.status).to.equal(413);
+        expect(answer.body.error.message).to.contain("10 bytes");
+    });
+
     it("keeps apart two accounts that use one idempotency key with one body", async () => {
         const digests = [];
         for (const authorization of [`Bearer ${key}`, `Bearer other-key`]) {
