Answer not-ready, not unauthenticated, before any settings are read

Cause: an entry that starts while neither the log nor a peer can be reached knows no key, and told every caller 401 with no word of coming back, while its health check passed. It now answers 503 not-ready with Retry-After and fails its health check. The new test failed before with [401, not-run].

--- a/src/protocol/settingsReader.ts
+++ b/src/protocol/settingsReader.ts
@@ -7,7 +7,7 @@
  * each change would take more processor time than control may.
  */
 import type { Result } from "neverthrow";
-import { livePaths, nodeAt, type SettingsState } from "../state/settingsTree.js";
+import { nodeAt, type SettingsState } from "../state/settingsTree.js";
 import {
     availabilityZoneSettings,
     type ClientAccountSettings,
@@ -24,6 +24,8 @@
 
 export type SettingsReader = {
     state: () => SettingsState;
+    /** Whether any settings have been read since the start. */
+    isReady: () => boolean;
     root: () => RootSettings | undefined;
     group: (group: string) => GroupSettings | undefined;
     service: (service: string) => ServiceSettings | undefined;
@@ -110,6 +112,7 @@
 
     return {
         state: refresh,
+        isReady: () => refresh().offset >= 0,
         root: () => cached("", rootSettings),
         group,
         service: name => cached(`services/${name}`, state => serviceSettings(state, name)),
@@ -129,6 +132,3 @@
         unreadable: () => [...failures.values()],
     };
 };
-
-/** Whether the state holds any node, so that a daemon knows that it has read settings at all. */
-export const hasSettings = (state: SettingsState): boolean => livePaths(state).length > 0;
--- a/src/transport/callerChecks.ts
+++ b/src/transport/callerChecks.ts
@@ -41,8 +41,15 @@
 export const digestOf = (...parts: string[]): string =>
     createHash("sha256").update(JSON.stringify(parts)).digest("hex");
 
+/** Seconds after which a caller may come back to an entry that has not read its settings yet. */
+const comeBackSeconds = 1;
+
 /** Finds the client account that owns the API key of the request. */
-export const authenticate = (context: Context, settings: SettingsReader): Result<Caller, Refusal> => {
+export const authenticate = (context: Context, { host, settings }: CallerTools): Result<Caller, Refusal> => {
+    if (!settings.isReady()) {
+        // Without settings every key is unknown, which says nothing about the caller.
+        return err(refusal("not-ready", [host], comeBackSeconds));
+    }
     const key = bearerToken(context.req.header("authorization"));
     const clientAccount = key === undefined ? undefined : settings.clientAccountOfKey(digestOfKey(key));
     const account = clientAccount === undefined ? undefined : settings.clientAccount(clientAccount);
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -15,7 +15,7 @@
 
 /** Limit of an entry that has read no settings yet. */
 const defaultMaximumBodyBytes = 1_048_576;
-const stoppingStatus = 503;
+const notServingStatus = 503;
 
 /** Refuses bodies over the limit; a declared length is judged without the cost of a web stream for the body. */
 const limitBody = (maximumBytes: () => number): MiddlewareHandler<NodeBindings> => {
@@ -35,10 +35,10 @@
 export const createCallerApplication = (tools: CallerTools): Hono<NodeBindings> => {
     const application = new Hono<NodeBindings>();
     application.use(limitBody(() => tools.settings.root()?.maximumBodyBytes ?? defaultMaximumBodyBytes));
-    application.get(
-        "/health",
-        context => tools.isStopping() ? context.text("stopping", stoppingStatus) : context.text("ok"),
-    );
+    application.get("/health", context => {
+        const isServing = tools.settings.isReady() && !tools.isStopping();
+        return isServing ? context.text("ok") : context.text("not serving", notServingStatus);
+    });
     application.post("/v1/completions", completionRoute(tools, "text"));
     application.post("/v1/chat/completions", completionRoute(tools, "chat"));
     application.all("/services/:service", serviceRoute(tools));
--- a/src/transport/completionRoute.ts
+++ b/src/transport/completionRoute.ts
@@ -85,7 +85,7 @@
 export const completionRoute = (tools: CallerTools, kind: CompletionKind) => async (context: Context<NodeBindings>) => {
     const startedAt = tools.now();
     const requestId = tools.newId();
-    const caller = authenticate(context, tools.settings);
+    const caller = authenticate(context, tools);
     const body = caller.isErr() ? "" : await context.req.text();
     const checked = caller.andThen(known =>
         decodeJsonAs<CompletionRequest>(completionSchemas[kind], body)
--- a/src/transport/serviceRoute.ts
+++ b/src/transport/serviceRoute.ts
@@ -30,7 +30,7 @@
     context: Context<NodeBindings>,
     requestId: string,
 ): Promise<Result<{ work: ServiceWork; limits: TaskLimits; }, Refusal>> => {
-    const caller = authenticate(context, tools.settings);
+    const caller = authenticate(context, tools);
     if (caller.isErr()) {
         return err(caller.error);
     }
--- a/tests/badInput.test.ts
+++ b/tests/badInput.test.ts
@@ -4,6 +4,7 @@
 import { v7 as uuid } from "uuid";
 import { createSettingsReader } from "../src/protocol/settingsReader.js";
 import { refusal } from "../src/state/errors.js";
+import { emptySettings } from "../src/state/settingsTree.js";
 import type { SettingsTreeNode } from "../src/state/types.js";
 import { createCallerApplication } from "../src/transport/callerServer.js";
 import { listen, type Listener } from "../src/transport/httpServer.js";
@@ -128,6 +129,25 @@
         ["an unknown path", "/v2/completions", completion, {}, 404, "unknown-route"],
     ];
 
+    it("tells callers to come back, and fails its health check, before it has read any settings", async () => {
+        await listener.close();
+        const application = createCallerApplication({
+            host: "entry-1",
+            settings: createSettingsReader(() => emptySettings),
+            now: Date.now,
+            newId: () => "id",
+            complete: () => Promise.resolve(err(refusal("no-upstream", ["council"]))),
+            callService: () => Promise.resolve(err(refusal("no-upstream", ["dispatch"]))),
+            isStopping: () => false,
+            onAnswer: () => undefined,
+        });
+        listener = await listen(application, "127.0.0.1:0");
+        const answer = await send("/v1/completions", completion);
+        expect([answer.status, answer.outcome]).to.deep.equal([503, "not-run"]);
+        expect(answer.body.error.code).to.equal("not-ready");
+        expect((await fetch(`http://${listener.address}/health`)).status).to.equal(503);
+    });
+
     it("never says not-run of a request that failed inside the entry", async () => {
         const broken = createCallerApplication({
             host: "entry-1",
