Remove two settings without effect and a second random generator

checksFence and claimWindowMinutes were accepted and read by nothing: agents check every order's fencing number whether the engine does or not, and the claim window follows from the log's retention. The tests use the bench's generator.

--- a/src/protocol/settingsSchema.ts
+++ b/src/protocol/settingsSchema.ts
@@ -53,8 +53,6 @@
         coldCapacity: positiveCount.default(4),
         /** Tokens of completed work that a rank that has just started must show before it is given more. */
         warmUpTokens: count.default(2_000),
-        /** Whether the engines refuse an order with an old fencing number. */
-        checksFence: z.boolean().default(false),
         stepTimeBoundMilliseconds: z.number().positive().default(75),
         /** Weights of one expert of one layer. */
         expertBytes: positiveCount.default(1_048_576),
@@ -68,8 +66,6 @@
         /** Running requests an upstream. */
         capacity: positiveCount.default(32),
         timeoutMilliseconds: milliseconds.optional(),
-        /** How long a key of a non-idempotent request is remembered. */
-        claimWindowMinutes: positiveCount.default(360),
         /** The first route whose method and prefix match decides. */
         routes: z.array(routeSchema).default([]),
     },
--- a/tests/support/mapFleet.ts
+++ b/tests/support/mapFleet.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
+import { seededRandom } from "../../src/bench/randomNumbers.js";
 import { startGroupLog } from "../../src/coordination/groupLog.js";
 import { runMapCoordinator } from "../../src/coordination/mapCoordinator.js";
 import type {
@@ -20,7 +21,6 @@
 import type { RankMapStatus } from "../../src/state/mapPromise.js";
 import type { Clock, RandomNumber } from "../../src/state/types.js";
 import { type FaultyLog, faultyLog } from "./faultyLog.js";
-import { seededRandom } from "./seededRandom.js";
 import { type SteppedClock, steppedClock } from "./steppedClock.js";
 
 export const shape = { ranks: 3, layers: 1, experts: 6, slotsPerRank: 2 };
--- a/tests/upstreamDirectory.test.ts
+++ b/tests/upstreamDirectory.test.ts
@@ -1,10 +1,10 @@
 import { expect } from "chai";
 import { err, ok, type Result } from "neverthrow";
+import { seededRandom } from "../src/bench/randomNumbers.js";
 import { chooseUpstream } from "../src/coordination/chooseUpstream.js";
 import { createUpstreamDirectory } from "../src/coordination/upstreamDirectory.js";
 import { startUpstreamWatch } from "../src/coordination/upstreamWatch.js";
 import type { HostRecord, LoadReport } from "../src/state/types.js";
-import { seededRandom } from "./support/seededRandom.js";
 import { virtualClock } from "./support/virtualClock.js";
 
 const target = "groups/council";
