--- a/src/coordination/claimKeeper.ts
+++ b/src/coordination/claimKeeper.ts
@@ -19,12 +19,12 @@
     emptyClaimFold,
     placeInWindow,
     type RunResult,
-    type StoredAnswer,
 } from "../state/claimFold.js";
 import { type Refusal, refusal } from "../state/errors.js";
 import { idempotencyKeyTime, normalizeIdempotencyKey } from "../state/idempotencyKey.js";
 import type { Clock, LogRecord, LogSlice } from "../state/types.js";
 import { createChanges } from "./changes.js";
+import type { Claimed, ClaimKeeper, ClaimKeeperState, ClaimRequest, RunPermit } from "./claims.js";
 import { createGroupCommit, defaultGroupCommitLimits, type GroupCommitLimits } from "./groupCommit.js";
 import type { AppendFailure, LogStream } from "./logStream.js";
 import { followStream } from "./streamTail.js";
@@ -43,48 +43,6 @@
     limits?: GroupCommitLimits;
 };
 
-export type ClaimRequest = {
-    key: string;
-    /** Hash of what the request asks for. */
-    digest: string;
-    /** By the clock: an attempt that is not settled by then never runs. */
-    deadline: number;
-};
-
-/** The right to run an attempt once; exactly one of its functions is called when the run has ended. */
-export type RunPermit = {
-    /** The service gave its whole answer. */
-    complete: (answer: StoredAnswer) => void;
-    /** The attempt may have run, and its answer is lost. */
-    lose: () => void;
-    /** Nothing of the attempt reached the service, and nothing will. */
-    release: () => void;
-};
-
-export type Claimed = { kind: "run"; permit: RunPermit; } | { kind: "replay"; answer: StoredAnswer; };
-
-/** What a dump shows of a keeper. */
-export type ClaimKeeperState = {
-    nextOffset: number;
-    ready: boolean;
-    keys: number;
-    openAttempts: number;
-    waitingEntries: number;
-};
-
-export type ClaimKeeper = {
-    /**
-     * Claims a key. Gives the permit to run, or the answer of the run that took place; fails with the refusal for the
-     * caller, whose outcome is `unknown` if another attempt holds the key and its result does not show in time.
-     */
-    claim: (request: ClaimRequest, signal: AbortSignal) => Promise<Result<Claimed, Refusal>>;
-    state: () => ClaimKeeperState;
-    /** Resolves when all results and releases are on the log, or after `milliseconds`. */
-    drained: (milliseconds: number, signal: AbortSignal) => Promise<void>;
-    /** Appends and reads until `signal` aborts. */
-    run: (signal: AbortSignal) => Promise<void>;
-};
-
 type AttemptPhase = "claiming" | "running" | "over";
 
 type Settlement = "won" | "beaten" | "invalid" | "refused";
--- a/src/coordination/runAtMostOnce.ts
+++ b/src/coordination/runAtMostOnce.ts
@@ -5,7 +5,7 @@
 import type { Refusal } from "../state/errors.js";
 import type { Clock } from "../state/types.js";
 import type { ServiceAnswer } from "./attempts.js";
-import type { ClaimKeeper, ClaimRequest, RunPermit } from "./claimKeeper.js";
+import type { ClaimKeeper, ClaimRequest, RunPermit } from "./claims.js";
 import type { CallService, ServiceFailure, ServiceGuard } from "./serviceAttemptTask.js";
 
 /** Part of an attempt's time that is kept for its answer to reach the entry. */
--- a/src/transport/agentDaemon.ts
+++ b/src/transport/agentDaemon.ts
@@ -4,7 +4,8 @@
 import { Hono } from "hono";
 import { randomUUID } from "node:crypto";
 import { type AdmissionGate, createAdmissionGate, type GateSettings } from "../coordination/admissionGate.js";
-import { type ClaimKeeper, createClaimKeeper } from "../coordination/claimKeeper.js";
+import { createClaimKeeper } from "../coordination/claimKeeper.js";
+import type { ClaimKeeper } from "../coordination/claims.js";
 import { createCrashGuard } from "../coordination/crashGuard.js";
 import { decodedStream } from "../coordination/decodedStream.js";
 import { startEngineWatch } from "../coordination/engineWatch.js";
--- a/tests/support/claimFleet.ts
+++ b/tests/support/claimFleet.ts
@@ -7,7 +7,8 @@
 import { ok, type Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
 import type { ServiceAnswer } from "../../src/coordination/attempts.js";
-import { type ClaimKeeper, createClaimKeeper } from "../../src/coordination/claimKeeper.js";
+import { createClaimKeeper } from "../../src/coordination/claimKeeper.js";
+import type { ClaimKeeper } from "../../src/coordination/claims.js";
 import type { LogStream } from "../../src/coordination/logStream.js";
 import { runAtMostOnce } from "../../src/coordination/runAtMostOnce.js";
 import type { ServiceFailure } from "../../src/coordination/serviceAttemptTask.js";
