Open connections and judge their errors in one module

The clients of agents and of engines built the same dispatcher twice, and the clients of agents and of the log kept the same list of errors that mean "nothing was sent". Behaviour is unchanged. The engine client's shorter list stays its own, since a longer one would change what counts as a crash.

--- a/src/transport/attemptClient.ts
+++ b/src/transport/attemptClient.ts
@@ -6,7 +6,7 @@
  * open.
  */
 import { err, ok, type Result } from "neverthrow";
-import { Agent, type Dispatcher, request } from "undici";
+import { type Dispatcher, request } from "undici";
 import type {
     AttemptClient,
     AttemptFailure,
@@ -27,19 +27,16 @@
 import type { HostRecord } from "../state/types.js";
 import { boundSignal } from "./boundedSignal.js";
 import { readLines } from "./lines.js";
+import { createStreamDispatcher, isUnsent } from "./upstreamConnections.js";
 
 type Answer = Dispatcher.ResponseData;
 
-const connectTimeoutMilliseconds = 500;
 const okStatus = 200;
 
-/** Errors of undici after which certainly nothing of the request was sent. */
-const notSentCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
-
 const connectionFailure = (error: unknown): AttemptFailure => {
     const { code, message } = error as { code?: string; message?: string; };
     const reason = `${code ?? "error"}: ${message ?? ""}`;
-    return { kind: code !== undefined && notSentCodes.has(code) ? "unreachable" : "cut", reason };
+    return { kind: isUnsent(error) ? "unreachable" : "cut", reason };
 };
 
 const closings: {
@@ -128,13 +125,7 @@
 
 /** Builds the client; `peerToken` authenticates the entry to the agents. */
 export const createAttemptClient = (peerToken: string): AttemptClient => {
-    const dispatcher = new Agent({
-        connect: { timeout: connectTimeoutMilliseconds },
-        connections: null,
-        pipelining: 1,
-        bodyTimeout: 0,
-        headersTimeout: 0,
-    });
+    const dispatcher = createStreamDispatcher();
     const send = (upstream: HostRecord, path: string, attempt: ModelAttempt | ServiceAttempt, signal: AbortSignal) =>
         request(`http://${upstream.address}${path}`, {
             method: "POST",
--- a/src/transport/engineClient.ts
+++ b/src/transport/engineClient.ts
@@ -5,14 +5,14 @@
  * seen to cross answers. A connection that breaks in mid-answer counts as a crash of the engine.
  */
 import { err, ok, type Result } from "neverthrow";
-import { Agent, request } from "undici";
+import { request } from "undici";
 import { z } from "zod";
 import type { ModelAttempt, TokenSink } from "../coordination/attempts.js";
 import type { EngineClient, UpstreamFailure } from "../coordination/upstreamClients.js";
 import { boundSignal } from "./boundedSignal.js";
 import { readLines } from "./lines.js";
+import { createStreamDispatcher } from "./upstreamConnections.js";
 
-const connectTimeoutMilliseconds = 500;
 const loadTimeoutMilliseconds = 1_000;
 const okStatus = 200;
 const incarnationHeader = "x-engine-incarnation";
@@ -78,19 +78,9 @@
     return { kind: code !== undefined && notSentCodes.has(code) ? "unreachable" : "crashed", reason };
 };
 
-/** A dispatcher for the one upstream of an agent. */
-export const createUpstreamDispatcher = (): Agent =>
-    new Agent({
-        connect: { timeout: connectTimeoutMilliseconds },
-        connections: null,
-        pipelining: 1,
-        bodyTimeout: 0,
-        headersTimeout: 0,
-    });
-
 /** Builds the client of the engine at `address` (`ip:port`). */
 export const createEngineClient = (address: string): EngineClient => {
-    const dispatcher = createUpstreamDispatcher();
+    const dispatcher = createStreamDispatcher();
     return {
         generate: async (attempt, onIncarnation, onToken, signal) => {
             try {
--- a/src/transport/logClient.ts
+++ b/src/transport/logClient.ts
@@ -14,6 +14,7 @@
 import { decodeJsonAs, describeDecodingError } from "../protocol/decoding.js";
 import type { LogSlice } from "../state/types.js";
 import { boundSignal } from "./boundedSignal.js";
+import { isUnsent } from "./upstreamConnections.js";
 
 const defaultTimeoutMilliseconds = 5_000;
 const defaultRecordsPerRead = 512;
@@ -29,12 +30,6 @@
 // Statuses with which the log says that it did not take the record.
 const isCertainRefusal = (status: number): boolean => status === 429 || status === 503 || status >= 400 && status < 500;
 
-// Errors of a connection that was never made, so that nothing was sent.
-const unsentErrorCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
-
-const errorCode = (error: unknown): string =>
-    typeof error === "object" && error !== null && "code" in error ? String(error.code) : "";
-
 const messageOf = (error: unknown): string => error instanceof Error ? error.message || error.name : String(error);
 
 export type LogClientOptions = {
@@ -97,7 +92,7 @@
                 .mapErr(error => ({ kind: "unknown", reason: describeDecodingError(error) }));
         }
         catch (error) {
-            const kind = unsentErrorCodes.has(errorCode(error)) ? "refused" : "unknown";
+            const kind = isUnsent(error) ? "refused" : "unknown";
             return err({ kind, reason: `log stream "${stream}": ${messageOf(error)}` });
         }
     };
--- a/src/transport/serviceClient.ts
+++ b/src/transport/serviceClient.ts
@@ -4,13 +4,14 @@
 import { err, ok } from "neverthrow";
 import { type Dispatcher, request } from "undici";
 import type { ServiceClient } from "../coordination/upstreamClients.js";
-import { createUpstreamDispatcher, upstreamFailure } from "./engineClient.js";
+import { upstreamFailure } from "./engineClient.js";
+import { createStreamDispatcher } from "./upstreamConnections.js";
 
 const bodilessMethods = new Set(["GET", "HEAD"]);
 
 /** Builds the client of the service at `address` (`ip:port`). */
 export const createServiceClient = (address: string): ServiceClient => {
-    const dispatcher = createUpstreamDispatcher();
+    const dispatcher = createStreamDispatcher();
     return {
         call: async (attempt, signal) => {
             try {
