--- /dev/null
+++ b/src/coordination/ingress/deploymentState.ts
@@ -0,0 +1,145 @@
+/**
+ * What an entry believes about its deployment: the configuration in force, evacuated zones and usable upstreams.
+ *
+ * A configuration is never replaced by an older one. Upstreams whose entries lapsed while the store was away get a
+ * moment after its return to enter themselves again before they are taken as gone.
+ */
+import type { IngressConfiguration, Upstream } from "../../state/ingressTypes.js";
+import type { Clock } from "../../state/types.js";
+import type { FeedRecord, FeedSink, FeedTopic } from "./deploymentFeed.js";
+import type { IngressLog } from "./ingressLog.js";
+import { compileRouteTable, type RouteTable } from "./routeTable.js";
+
+/** Upstreams that live are back in the list this long after the store's return. */
+const lapseGraceMilliseconds = 2_000;
+
+export type KnownUpstream = Upstream & {
+    /** When it stops being cold, by the steady clock. */
+    coldUntil: number;
+    /** Its entry is missing since the store's return; it is gone at this instant unless it comes back. */
+    goneAt: number | undefined;
+};
+
+export type DeploymentState = FeedSink & {
+    /** Undefined until a configuration is known. */
+    routeTable: () => RouteTable | undefined;
+    /** Takes a configuration from a peer or the store, unless a newer one is known; tells whether it was taken. */
+    offerConfiguration: (configuration: IngressConfiguration, source: string) => boolean;
+    /** Upstreams of `service` that may be given new requests. */
+    usable: (service: string) => KnownUpstream[];
+    find: (id: string) => KnownUpstream | undefined;
+    all: () => KnownUpstream[];
+    isEvacuated: (availabilityZone: string) => boolean;
+    evacuatedZones: () => string[];
+};
+
+export const createDeploymentState = (clock: Pick<Clock, "now">, log: IngressLog): DeploymentState => {
+    let table: RouteTable | undefined;
+    const evacuated = new Set<string>();
+    const upstreams = new Map<string, KnownUpstream>();
+    let graceUntil = 0;
+    let isStoreLost = false;
+
+    const offerConfiguration = (configuration: IngressConfiguration, source: string): boolean => {
+        const known = table?.configuration.version;
+        if (known !== undefined && known >= configuration.version) {
+            return false;
+        }
+        table = compileRouteTable(configuration);
+        log.belief("configuration in force", { version: configuration.version, previous: known, source });
+        return true;
+    };
+
+    const putUpstream = (upstream: Upstream): void => {
+        const known = upstreams.get(upstream.id);
+        const coldUntil = clock.now() + upstream.coldMilliseconds;
+        upstreams.set(upstream.id, { ...upstream, coldUntil, goneAt: undefined });
+        if (known === undefined || known.isDraining !== upstream.isDraining || known.bornAt !== upstream.bornAt) {
+            const { id, service, address, availabilityZone, isDraining, coldMilliseconds } = upstream;
+            log.belief("upstream listed", { id, service, address, availabilityZone, isDraining, coldMilliseconds });
+        }
+    };
+
+    const removeUpstream = (id: string, reason: string): void => {
+        const known = upstreams.get(id);
+        if (known === undefined) {
+            return;
+        }
+        const isInGrace = isStoreLost || clock.now() < graceUntil;
+        if (isInGrace && !known.isDraining) {
+            upstreams.set(id, { ...known, goneAt: graceUntil });
+        }
+        else {
+            upstreams.delete(id);
+        }
+        log.belief("upstream unlisted", { id, service: known.service, reason, keptFor: isInGrace ? lapseGraceMilliseconds : 0 });
+    };
+
+    const setEvacuated = (availabilityZone: string, isOut: boolean): void => {
+        if (evacuated.has(availabilityZone) !== isOut) {
+            if (isOut) {
+                evacuated.add(availabilityZone);
+            }
+            else {
+                evacuated.delete(availabilityZone);
+            }
+            log.belief(isOut ? "zone evacuated" : "zone returned", { availabilityZone });
+        }
+    };
+
+    const handlers: { [Kind in FeedRecord["kind"]]: (record: Extract<FeedRecord, { kind: Kind; }>) => void; } = {
+        "configuration": ({ configuration }) => void offerConfiguration(configuration, "store"),
+        "zone-evacuated": ({ availabilityZone }) => setEvacuated(availabilityZone, true),
+        "zone-returned": ({ availabilityZone }) => setEvacuated(availabilityZone, false),
+        "upstream": ({ upstream }) => putUpstream(upstream),
+        "upstream-gone": ({ id }) => removeUpstream(id, "its entry was removed"),
+        "unreadable": ({ key, reason }) => {
+            log.belief("record ignored", { key, reason });
+            removeUpstream(key, "its entry can't be read");
+        },
+    };
+
+    const apply = (records: FeedRecord[]): void => {
+        for (const record of records) {
+            (handlers[record.kind] as (record: FeedRecord) => void)(record);
+        }
+    };
+
+    const replacers: Record<FeedTopic, (records: FeedRecord[]) => void> = {
+        operator: records => {
+            const listed = new Set(
+                records.flatMap(record => record.kind === "zone-evacuated" ? record.availabilityZone : []),
+            );
+            [...evacuated].filter(zone => !listed.has(zone)).forEach(zone => setEvacuated(zone, false));
+        },
+        upstreams: records => {
+            const listed = new Set(records.flatMap(record => record.kind === "upstream" ? record.upstream.id : []));
+            [...upstreams.keys()].filter(id => !listed.has(id)).forEach(id => removeUpstream(id, "no longer listed"));
+        },
+    };
+
+    const isUsable = ({ isDraining, goneAt, availabilityZone }: KnownUpstream): boolean =>
+        !isDraining && !evacuated.has(availabilityZone) && (goneAt === undefined || isStoreLost || clock.now() < goneAt);
+
+    return {
+        replace: (topic, records) => {
+            replacers[topic](records);
+            apply(records);
+        },
+        apply,
+        storeLost: () => {
+            isStoreLost = true;
+        },
+        storeRegained: () => {
+            isStoreLost = false;
+            graceUntil = clock.now() + lapseGraceMilliseconds;
+        },
+        routeTable: () => table,
+        offerConfiguration,
+        usable: service => [...upstreams.values()].filter(upstream => upstream.service === service && isUsable(upstream)),
+        find: id => upstreams.get(id),
+        all: () => [...upstreams.values()],
+        isEvacuated: availabilityZone => evacuated.has(availabilityZone),
+        evacuatedZones: () => [...evacuated],
+    };
+};
--- /dev/null
+++ b/src/coordination/ingress/plainTask.ts
@@ -0,0 +1,135 @@
+/**
+ * Runs one request of a plain service.
+ *
+ * What may not repeat is sent again only when nothing was sent or the upstream itself says that it has not run it. The
+ * whole answer is read before the caller gets its first byte, so an answer that is cut costs a retry and not the caller.
+ */
+import type { KnownUpstream } from "./deploymentState.js";
+import type { PlainPlaces } from "./plainPlaces.js";
+import { fail, noSendings, type RequestContext, type Sendings, type SharedParts } from "./requestContext.js";
+import type { SendingTimes, UpstreamAnswer } from "./upstreamCaller.js";
+
+/** A repeatable request is taken elsewhere when an upstream is silent for this many objectives. */
+const objectivesUntilElsewhere = 1.5;
+const leastElsewhereMilliseconds = 400;
+/** When to come back after a refusal for want of an upstream, with as much again at random to spread returns. */
+const returnMilliseconds = 300;
+const serverErrorStatus = 500;
+
+type Verdict =
+    | { kind: "final"; answer: UpstreamAnswer; body: Buffer[]; }
+    | { kind: "unreachable" | "not-run" | "broken"; reason: string; }
+    /** The upstream ran the request and answered with an error of its own. */
+    | { kind: "failed"; answer: UpstreamAnswer; body: Buffer[]; };
+
+const readWhole = async (answer: UpstreamAnswer): Promise<Buffer[] | undefined> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of answer.body) {
+        chunks.push(chunk);
+    }
+    return answer.isWhole() ? chunks : undefined;
+};
+
+const judge = async (answer: UpstreamAnswer, requestId: string): Promise<Verdict> => {
+    const { marks, status } = answer;
+    if (marks.requestId !== undefined && marks.requestId !== requestId) {
+        answer.close();
+        return { kind: "broken", reason: "the answer belongs to another request" };
+    }
+    if (marks.isNotRun) {
+        answer.close();
+        return { kind: "not-run", reason: `status ${status}` };
+    }
+    if (!marks.isSealed) {
+        answer.close();
+        return { kind: "broken", reason: `status ${status} without a seal` };
+    }
+    const body = await readWhole(answer);
+    if (body === undefined) {
+        return { kind: "broken", reason: "the answer was cut" };
+    }
+    return { kind: status >= serverErrorStatus ? "failed" : "final", answer, body };
+};
+
+export const createPlainTask = (places: PlainPlaces, shared: SharedParts) => {
+    const { clock, log, metrics, health, retryBudget, random } = shared;
+
+    const attempt = async (context: RequestContext, upstream: KnownUpstream): Promise<Verdict> => {
+        const { envelope, route, clientAccount, patienceUntil, answerBy, send, signal } = context;
+        const left = answerBy - clock.now();
+        const elsewhere = Math.max(leastElsewhereMilliseconds, route.objectiveMilliseconds * objectivesUntilElsewhere);
+        const wait = route.kind === "idempotent" ? Math.min(left, elsewhere) : left;
+        const times: SendingTimes = { headMilliseconds: wait, silenceMilliseconds: wait };
+        const head = { patienceMilliseconds: patienceUntil - clock.now(), clientAccount, lastEventId: undefined };
+        const answer = await send(upstream, head, times, signal);
+        return answer.isErr() ? answer.error : judge(answer.value, envelope.requestId);
+    };
+
+    const deliver = ({ sink, envelope, arrivedAt }: RequestContext, answer: UpstreamAnswer, body: Buffer[]): void => {
+        sink.begin(answer.status, answer.fields);
+        body.forEach(sink.write);
+        sink.end();
+        const took = clock.now() - arrivedAt;
+        metrics.observe("ingress_plain_answer", took);
+        log.request(envelope.requestId, "answered", { status: answer.status, afterMilliseconds: Math.round(took) });
+    };
+
+    const mayRepeat = ({ route }: RequestContext, { reached }: Sendings): boolean =>
+        reached.size < route.attempts && (reached.size === 0 || retryBudget.takeRetry());
+
+    return async (context: RequestContext): Promise<void> => {
+        const { route, service, envelope, signal } = context;
+        const sendings = noSendings();
+        let lastFailure: Extract<Verdict, { kind: "failed"; }> | undefined;
+        let lastReason = "no upstream takes work";
+        retryBudget.recordRequest();
+        while (!signal.aborted) {
+            const place = places.take(service, sendings.avoided);
+            if (place === undefined || !mayRepeat(context, sendings)) {
+                place?.release();
+                break;
+            }
+            const { upstream, release } = place;
+            const sentAt = clock.now();
+            const verdict = await attempt(context, upstream);
+            release();
+            const took = clock.now() - sentAt;
+            sendings.avoided.add(upstream.id);
+            if (verdict.kind !== "unreachable") {
+                sendings.reached.add(upstream.id);
+            }
+            if (verdict.kind === "final") {
+                health.recordAnswer(upstream.id, took);
+                deliver(context, verdict.answer, verdict.body);
+                return;
+            }
+            const reason = verdict.kind === "failed" ? `status ${verdict.answer.status}` : verdict.reason;
+            if (!signal.aborted) {
+                health.recordFailure(upstream.id, verdict.kind === "unreachable", reason);
+                metrics.count(`ingress_sendings_lost_total{kind="${verdict.kind}"}`);
+                log.request(envelope.requestId, "sending lost", {
+                    upstream: upstream.id,
+                    kind: verdict.kind,
+                    reason,
+                    afterMilliseconds: Math.round(took),
+                });
+            }
+            lastReason = reason;
+            lastFailure = verdict.kind === "failed" ? verdict : lastFailure;
+            sendings.mayHaveRun ||= verdict.kind === "broken" || verdict.kind === "failed";
+            if (sendings.mayHaveRun && route.kind !== "idempotent") {
+                break;
+            }
+        }
+        if (lastFailure !== undefined && !signal.aborted) {
+            deliver(context, lastFailure.answer, lastFailure.body);
+        }
+        else if (sendings.mayHaveRun || signal.aborted && sendings.reached.size > 0) {
+            fail(context, shared, "interrupted", { reason: lastReason, reached: [...sendings.reached] });
+        }
+        else {
+            const inputs = { reason: lastReason, reached: [...sendings.reached], avoided: [...sendings.avoided] };
+            fail(context, shared, "no-upstream", inputs, returnMilliseconds * (1 + random()));
+        }
+    };
+};
--- /dev/null
+++ b/src/coordination/ingress/requestContext.ts
@@ -0,0 +1,91 @@
+/**
+ * What the tasks of requests share: one caller's request, the way to answer it and the entry's common parts.
+ */
+import { type ErrorCode, type Refusal, refusal } from "../../state/errors.js";
+import type { Envelope, IngressRoute } from "../../state/ingressTypes.js";
+import type { Clock } from "../../state/types.js";
+import type { Metrics } from "../metrics.js";
+import type { RetryBudget } from "../retryBudget.js";
+import type { IngressLog } from "./ingressLog.js";
+import type { SendToUpstream } from "./upstreamCaller.js";
+import type { UpstreamHealth } from "./upstreamHealth.js";
+
+/** The caller's side of one request; exactly one of `end`, `refuse` and `cut` closes it. */
+export type AnswerSink = {
+    begin: (status: number, fields: string[]) => void;
+    write: (bytes: Buffer) => void;
+    end: () => void;
+    /** Only before `begin`. */
+    refuse: (reason: Refusal) => void;
+    /** Breaks the connection, so that what was sent can't look whole. */
+    cut: () => void;
+    hasBegun: () => boolean;
+};
+
+export type RequestContext = {
+    envelope: Envelope;
+    route: IngressRoute;
+    service: string;
+    clientAccount: string | undefined;
+    priority: number;
+    arrivedAt: number;
+    /** When the caller stops waiting, by the steady clock. */
+    patienceUntil: number;
+    /** When a final answer is due: the caller's patience or the route's timeout, whichever ends first. */
+    answerBy: number;
+    send: SendToUpstream;
+    sink: AnswerSink;
+    /** Aborts when the caller is gone or the answer is overdue. */
+    signal: AbortSignal;
+};
+
+export type SharedParts = {
+    clock: Clock;
+    log: IngressLog;
+    metrics: Metrics;
+    health: UpstreamHealth;
+    retryBudget: RetryBudget;
+    random: () => number;
+};
+
+/** What became known of the sendings of one request so far. */
+export type Sendings = {
+    /** Upstreams that the request reached. */
+    reached: Set<string>;
+    /** Upstreams not to be tried again, reached or not. */
+    avoided: Set<string>;
+    /** Whether any sending may have run. */
+    mayHaveRun: boolean;
+};
+
+export const noSendings = (): Sendings => ({ reached: new Set(), avoided: new Set(), mayHaveRun: false });
+
+const millisecondsPerSecond = 1_000;
+
+/** Ends a request without an upstream's answer, and says why in the log. */
+export const fail = (
+    { sink, envelope, route, service, arrivedAt }: RequestContext,
+    { clock, log, metrics }: SharedParts,
+    code: ErrorCode,
+    inputs: Record<string, unknown>,
+    retryAfterMilliseconds?: number,
+): void => {
+    const retryAfterSeconds = retryAfterMilliseconds === undefined
+        ? undefined
+        : Math.round(retryAfterMilliseconds) / millisecondsPerSecond;
+    const reason = refusal(code, [service], retryAfterSeconds);
+    metrics.count(`ingress_failures_total{code="${code}"}`);
+    log.failure(envelope.requestId, reason.outcome === "not-run" ? "refused" : "failed", {
+        code,
+        route: route.name,
+        service,
+        afterMilliseconds: Math.round(clock.now() - arrivedAt),
+        ...inputs,
+    });
+    if (sink.hasBegun()) {
+        sink.cut();
+    }
+    else {
+        sink.refuse(reason);
+    }
+};
--- /dev/null
+++ b/src/coordination/ingress/routeTable.ts
@@ -0,0 +1,74 @@
+/**
+ * The configuration in force, compiled for look-ups: the route by host and longest path prefix, the account by key.
+ */
+import type { Envelope, IngressAccount, IngressConfiguration, IngressRoute, UpstreamService } from "../../state/ingressTypes.js";
+
+export type RouteTable = {
+    configuration: IngressConfiguration;
+    findRoute: (host: string, path: string) => IngressRoute | undefined;
+    findAccount: (apiKey: string) => IngressAccount | undefined;
+    findService: (name: string) => UpstreamService | undefined;
+};
+
+export const compileRouteTable = (configuration: IngressConfiguration): RouteTable => {
+    const byHost = new Map<string, Map<string, IngressRoute>>();
+    for (const route of configuration.routes) {
+        const routes = byHost.get(route.host) ?? new Map<string, IngressRoute>();
+        routes.set(route.pathPrefix, route);
+        byHost.set(route.host, routes);
+    }
+    const accounts = new Map(
+        configuration.accounts.flatMap(account => account.keys.map(key => [key, account] as const)),
+    );
+    const services = new Map(configuration.services.map(service => [service.name, service]));
+
+    const findRoute = (host: string, path: string): IngressRoute | undefined => {
+        const routes = byHost.get(host);
+        if (routes === undefined) {
+            return undefined;
+        }
+        // Prefixes end with a slash, so only the parts of the path up to each slash can match, the longest first.
+        for (let end = path.lastIndexOf("/"); end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+            const route = routes.get(path.slice(0, end + 1));
+            if (route !== undefined) {
+                return route;
+            }
+        }
+        return undefined;
+    };
+
+    return {
+        configuration,
+        findRoute,
+        findAccount: apiKey => accounts.get(apiKey),
+        findService: name => services.get(name),
+    };
+};
+
+export type Admission =
+    | { kind: "allowed"; route: IngressRoute; account: IngressAccount | undefined; priority: number; }
+    | { kind: "unknown-route"; }
+    | { kind: "unauthenticated"; };
+
+/** What the configuration says of a request; accounts are checked only where the configuration has any. */
+export const authorize = (table: RouteTable, { host, path, apiKey }: Envelope): Admission => {
+    const route = table.findRoute(host, path);
+    if (route === undefined) {
+        return { kind: "unknown-route" };
+    }
+    const account = apiKey === undefined ? undefined : table.findAccount(apiKey);
+    if (account === undefined && !route.isPublic && table.configuration.accounts.length > 0) {
+        return { kind: "unauthenticated" };
+    }
+    return { kind: "allowed", route, account, priority: account?.priority ?? route.priority };
+};
+
+/** Draws the service of a request by the weights of its route; `sample` lies between 0 and 1. */
+export const chooseService = ({ services }: IngressRoute, sample: number): string | undefined => {
+    const total = services.reduce((sum, { weight }) => sum + weight, 0);
+    let rest = sample * total;
+    return services.find(({ weight }) => {
+        rest -= weight;
+        return rest < 0;
+    })?.service ?? services.at(-1)?.service;
+};
--- /dev/null
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -0,0 +1,83 @@
+/**
+ * Whether a stream starts now, waits for a place or is refused.
+ *
+ * Load it answers: more callers than the groups can pace, for seconds or for the whole day. A stream that can't start
+ * at once waits only as long as it can still meet its objective; what can't is refused at once and told when to come
+ * back, spread over time so that returns don't arrive together.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { ErrorCode } from "../../state/errors.js";
+import type { Priority } from "../../state/types.js";
+import { createFairQueue, type FairQueue } from "../fairQueue.js";
+import type { RequestContext, SharedParts } from "./requestContext.js";
+import type { Place, StreamPlaces } from "./streamPlaces.js";
+
+export type AdmissionRefusal = {
+    kind: ErrorCode;
+    retryAfterMilliseconds: number;
+    /** What decided it, for the log. */
+    inputs: Record<string, unknown>;
+};
+
+export type StreamAdmission = {
+    enter: (context: RequestContext) => Promise<Result<Place, AdmissionRefusal>>;
+    /** To be called when a place of `service` became free. */
+    placeFreed: (service: string) => void;
+    /** When a caller that is refused now may come back. */
+    returnMilliseconds: () => number;
+};
+
+/** Share of the objective that may go into waiting; the rest is for prefill and one pass. */
+const waitingShare = 0.35;
+/** Waiting streams of one service; at the sites' rates these start within the wait or not at all. */
+const queueLimit = 16;
+/** Returns are spread over this time, about half of a mean stream's run. */
+const earliestReturnMilliseconds = 500;
+const returnSpreadMilliseconds = 1_500;
+
+const priorityOf = (priority: number): Priority => priority === 0 ? "interactive" : priority === 1 ? "standard" : "batch";
+
+export const createStreamAdmission = (places: StreamPlaces, { clock, random }: SharedParts): StreamAdmission => {
+    const queues = new Map<string, FairQueue>();
+    const nothingAvoided: ReadonlySet<string> = new Set();
+
+    const queueOf = (service: string): FairQueue => {
+        const queue = queues.get(service) ?? createFairQueue(clock, () => queueLimit);
+        queues.set(service, queue);
+        return queue;
+    };
+
+    const returnMilliseconds = (): number => earliestReturnMilliseconds + random() * returnSpreadMilliseconds;
+
+    return {
+        enter: async context => {
+            const { service, route, envelope, arrivedAt, answerBy, clientAccount, priority, signal } = context;
+            if (!places.hasUpstream(service)) {
+                const inputs = { reason: "no upstream takes work" };
+                return err({ kind: "no-upstream", retryAfterMilliseconds: returnMilliseconds(), inputs });
+            }
+            const queue = queueOf(service);
+            const entered = await queue.enter<Place>({
+                clientAccount: clientAccount ?? "",
+                priority: priorityOf(priority),
+                tokens: envelope.promptTokens + envelope.maximumAnswerTokens,
+                startBy: Math.min(answerBy, arrivedAt + route.objectiveMilliseconds * waitingShare),
+                tryStart: () => {
+                    const place = places.take(service, nothingAvoided, false);
+                    return place === undefined ? { kind: "wait" } : { kind: "done", value: place };
+                },
+            }, signal);
+            return entered.match<Result<Place, AdmissionRefusal>>(
+                place => ok(place),
+                refused =>
+                    err({
+                        kind: refused.kind === "full" ? "queue-full" : "cannot-start-in-time",
+                        retryAfterMilliseconds: returnMilliseconds(),
+                        inputs: { queued: queue.length(), groups: places.groups() },
+                    }),
+            );
+        },
+        placeFreed: service => queues.get(service)?.pump(),
+        returnMilliseconds,
+    };
+};
--- a/src/coordination/retryBudget.ts
+++ b/src/coordination/retryBudget.ts
@@ -13,12 +13,24 @@
     takeRetry: () => boolean;
 };
 
-const reservedRetries = 10;
-const reservedRetriesPerSecond = 1;
-const largestBalance = 100;
+export type RetryReserve = {
+    /** Retries allowed beside the ratio, and at the start. */
+    retries: number;
+    /** How fast the reserve comes back. */
+    perSecond: number;
+    /** The most retries that requests can save up. */
+    largestBalance: number;
+};
+
+const defaultReserve: RetryReserve = { retries: 10, perSecond: 1, largestBalance: 100 };
 
 /** `ratio` gives the retries allowed for each request, as the settings now have it. */
-export const createRetryBudget = (clock: Pick<Clock, "now">, ratio: () => number): RetryBudget => {
+export const createRetryBudget = (
+    clock: Pick<Clock, "now">,
+    ratio: () => number,
+    reserve: RetryReserve = defaultReserve,
+): RetryBudget => {
+    const { retries: reservedRetries, perSecond: reservedRetriesPerSecond, largestBalance } = reserve;
     let balance = reservedRetries;
     let refilledAt = clock.now();
 
--- a/src/programs/daemon.ts
+++ b/src/programs/daemon.ts
@@ -30,6 +30,17 @@
     }
 };
 
+const exitForProblems = (problems: string[]): never => {
+    for (const problem of problems) {
+        process.stderr.write(`${problem}\n`);
+    }
+    process.exit(wrongSettingsStatus);
+};
+
+/** Reads a settings file; on any fault names it on standard error and exits before anything listens. */
+export const loadConfig = <Schema extends z.ZodType>(schema: Schema, file: string): z.infer<Schema> =>
+    readConfig(schema, file).match(config => config, exitForProblems);
+
 /** Reads file and environment; on any fault names each on standard error and exits before anything listens. */
 export const loadDaemon = <Schema extends z.ZodType>(
     schema: Schema,
@@ -40,11 +51,7 @@
     if (config.isOk() && tokens.isOk()) {
         return { config: config.value, tokens: tokens.value };
     }
-    const problems = [...(config.isErr() ? config.error : []), ...(tokens.isErr() ? tokens.error : [])];
-    for (const problem of problems) {
-        process.stderr.write(`${problem}\n`);
-    }
-    process.exit(wrongSettingsStatus);
+    return exitForProblems([...(config.isErr() ? config.error : []), ...(tokens.isErr() ? tokens.error : [])]);
 };
 
 /** Calls `stop` once, on the first SIGTERM or SIGINT. */
--- /dev/null
+++ b/src/programs/ingress.ts
@@ -0,0 +1,45 @@
+#!/usr/bin/env node
+/**
+ * `cyclamengap-ingress`: the entry on the users' platform.
+ */
+import { defineCommand, runMain } from "citty";
+import { platformHeads } from "../../platform/requestHeaders.js";
+import { paths } from "../../platform/names.js";
+import { createStoreClient } from "../../platform/storeClient.js";
+import { createDeploymentFeed } from "../../platform/storeRecords.js";
+import { ingressConfigSchema } from "../protocol/ingressConfig.js";
+import { startIngress } from "../transport/ingress/ingressDaemon.js";
+import { createLogger } from "../transport/logger.js";
+import { loadConfig, onStopSignal } from "./daemon.js";
+
+/** Where the platform names the settings file. */
+const settingsVariable = "CYCLAMENGAP_BOOT";
+
+const command = defineCommand({
+    meta: { name: "cyclamengap-ingress", description: "Entry on a platform that keeps configuration in its store" },
+    args: { config: { type: "string", description: "settings file, JSON with comments; default: CYCLAMENGAP_BOOT" } },
+    run: async ({ args }) => {
+        const config = loadConfig(ingressConfigSchema, args.config ?? process.env[settingsVariable] ?? "");
+        const logger = createLogger(config.logLevel, {
+            host: config.host,
+            availabilityZone: config.availabilityZone,
+            role: "ingress",
+        });
+        const lifetime = new AbortController();
+        const store = createStoreClient(config.store.address, lifetime.signal);
+        const adapter = { heads: platformHeads, feed: createDeploymentFeed(store), readinessPath: paths.readiness };
+        logger.info("starting", { callers: config.callers, store: config.store.address });
+        const daemon = await startIngress(config, adapter, logger, lifetime.signal);
+        logger.info("started", { callers: config.callers, startMilliseconds: Math.round(performance.now()) });
+        process.on("SIGHUP", () => logger.info("reload", { file: args.config ?? process.env[settingsVariable] }));
+        onStopSignal(async name => {
+            logger.info("stopping", { signal: name });
+            await daemon.stop();
+            logger.info("stopped");
+            lifetime.abort();
+            process.exit(0);
+        });
+    },
+});
+
+await runMain(command);
--- /dev/null
+++ b/src/protocol/eventFrames.ts
@@ -0,0 +1,55 @@
+/**
+ * Splits an event stream into whole events, so that an event cut in its middle is never passed on.
+ */
+
+export type StreamEvent = {
+    /** The event as it came, with the empty line that ends it. */
+    bytes: Buffer;
+    id: string | undefined;
+};
+
+export type EventSplitter = {
+    /** Adds bytes and gives the events that they complete. */
+    push: (chunk: Buffer) => StreamEvent[];
+    /** Bytes of an event that has not ended. */
+    pending: () => number;
+};
+
+const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
+/** An event beyond this size is not one; the largest of the sites has 420 bytes. */
+export const largestEventBytes = 1_048_576;
+
+const idOf = (bytes: Buffer): string | undefined => /(?:^|\n)id: ?([^\r\n]*)/.exec(bytes.toString("latin1"))?.[1];
+
+/** Position after the first empty line at or behind `from`; -1 if there is none. */
+const endOfEvent = (bytes: Buffer, from: number): number => {
+    for (let position = bytes.indexOf(lineFeed, from); position >= 0; position = bytes.indexOf(lineFeed, position + 1)) {
+        if (bytes[position + 1] === lineFeed) {
+            return position + 2;
+        }
+        if (bytes[position + 1] === carriageReturn && bytes[position + 2] === lineFeed) {
+            return position + 3;
+        }
+    }
+    return -1;
+};
+
+export const createEventSplitter = (): EventSplitter => {
+    let rest: Buffer = Buffer.alloc(0);
+    return {
+        push: chunk => {
+            rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+            const events: StreamEvent[] = [];
+            let start = 0;
+            for (let end = endOfEvent(rest, 0); end >= 0; end = endOfEvent(rest, start)) {
+                const bytes = rest.subarray(start, end);
+                events.push({ bytes, id: idOf(bytes) });
+                start = end;
+            }
+            rest = rest.subarray(start);
+            return events;
+        },
+        pending: () => rest.length,
+    };
+};
--- /dev/null
+++ b/src/protocol/ingressConfig.ts
@@ -0,0 +1,33 @@
+/**
+ * Settings file of an ingress daemon, JSON with comments; what the platform fills in reaches it under these names.
+ */
+import { z } from "zod";
+
+const address = z.string().regex(/^[\d.]+:\d+$/, "expected an address ip:port");
+
+const commonFields = {
+    host: z.string().min(1),
+    availabilityZone: z.string().min(1),
+    ip: z.string().min(1),
+    /** First and last port for traffic between daemons. */
+    internalPorts: z.tuple([z.int(), z.int()]),
+    store: z.object({ address }),
+    logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
+};
+
+export const ingressConfigSchema = z.object({
+    ...commonFields,
+    /** Where callers connect. */
+    callers: address,
+    /** Where the platform asks whether the daemon takes new connections. */
+    readiness: address,
+    /** Seconds from SIGTERM to SIGKILL. */
+    graceSeconds: z.number().positive(),
+    /** Retries allowed for each request, over all entries. */
+    retryRatio: z.number().min(0),
+    /** Retries allowed beside the ratio in one window, over all entries. */
+    retrySlack: z.number().min(0),
+    retryWindowSeconds: z.number().positive(),
+});
+
+export type IngressConfig = z.infer<typeof ingressConfigSchema>;
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -40,7 +40,8 @@
     "ERR_HTTP_REQUEST_TIMEOUT": "request-too-slow",
 };
 
-const answerClientError = (error: Error & { code?: string; }, socket: Socket): void => {
+/** Answers what is no request in the protocol, if its sender still listens. */
+export const answerClientError = (error: Error & { code?: string; }, socket: Socket): void => {
     if (!socket.writable) {
         socket.destroy();
         return;
--- /dev/null
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -0,0 +1,164 @@
+/**
+ * An entry on a platform whose store lists configuration and upstreams: listener, decisions and followers in one place.
+ */
+import { setMaxListeners } from "node:events";
+import { createMetrics } from "../../coordination/metrics.js";
+import { createRetryBudget } from "../../coordination/retryBudget.js";
+import { type DeploymentFeed, followDeployment } from "../../coordination/ingress/deploymentFeed.js";
+import { createDeploymentState } from "../../coordination/ingress/deploymentState.js";
+import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
+import { createPlainPlaces } from "../../coordination/ingress/plainPlaces.js";
+import { createPlainTask } from "../../coordination/ingress/plainTask.js";
+import type { RequestContext, SharedParts } from "../../coordination/ingress/requestContext.js";
+import type { RequestHeads } from "../../coordination/ingress/requestHeads.js";
+import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
+import { createStreamAdmission } from "../../coordination/ingress/streamAdmission.js";
+import { createStreamPlaces } from "../../coordination/ingress/streamPlaces.js";
+import { createStreamTask } from "../../coordination/ingress/streamTask.js";
+import { createUpstreamHealth } from "../../coordination/ingress/upstreamHealth.js";
+import type { IngressConfig } from "../../protocol/ingressConfig.js";
+import { refusal } from "../../state/errors.js";
+import { boundSignal } from "../boundedSignal.js";
+import type { Logger } from "../logger.js";
+import { steadyClock } from "../systemClock.js";
+import { type CallerRequest, startCallerServer } from "./callerServer.js";
+import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
+import { createSender } from "./upstreamSender.js";
+
+/** What knows the names and calls of a platform. */
+export type PlatformAdapter = {
+    heads: RequestHeads;
+    feed: DeploymentFeed;
+    readinessPath: string;
+};
+
+export type IngressDaemon = {
+    /** Serves what it has and lets callers go elsewhere; resolves when nothing is left or the grace is over. */
+    stop: () => Promise<void>;
+};
+
+/** A caller that states no patience waits this long, the longest time limit of the sites. */
+const defaultPatienceMilliseconds = 8_000;
+/** Without the store for this long, an unknown route or key may be one that was added meanwhile. */
+const staleMilliseconds = 3_000;
+/** The platform's balancer takes a daemon out after two misses, one a second, and connections under way follow. */
+const idleCloseMilliseconds = 2_600;
+/** Left of the grace at the end, to close connections before the kill. */
+const graceReserveMilliseconds = 300;
+const drainCheckMilliseconds = 50;
+/** Retries that an entry may save up, in windows of its share. */
+const retryReserveShare = 0.5;
+/** Part of the allowed ratio that this entry uses; the rest covers requests that upstreams reject by themselves. */
+const retryRatioShare = 0.75;
+
+export const startIngress = async (
+    config: IngressConfig,
+    platform: PlatformAdapter,
+    logger: Logger,
+    signal: AbortSignal,
+): Promise<IngressDaemon> => {
+    setMaxListeners(0, signal);
+    const clock = steadyClock;
+    const log = createIngressLog((event, fields) => logger.info(event, fields), clock);
+    const metrics = createMetrics();
+    const state = createDeploymentState(clock, log);
+    const health = createUpstreamHealth(clock, log);
+    const entries = (): number => 8;
+    const runningElsewhere = (): number => 0;
+    const retriesPerWindow = config.retrySlack * retryReserveShare / entries();
+    const retryBudget = createRetryBudget(clock, () => config.retryRatio * retryRatioShare, {
+        retries: retriesPerWindow / 2,
+        perSecond: retriesPerWindow / 2 / config.retryWindowSeconds,
+        largestBalance: retriesPerWindow,
+    });
+    const shared: SharedParts = { clock, log, metrics, health, retryBudget, random: Math.random };
+    const streamPlaces = createStreamPlaces({ state, health, clock, entries, runningElsewhere, random: Math.random });
+    const plainPlaces = createPlainPlaces(state, health, config.availabilityZone, runningElsewhere);
+    const runStream = createStreamTask(streamPlaces, createStreamAdmission(streamPlaces, shared), shared);
+    const runPlain = createPlainTask(plainPlaces, shared);
+    let isStopping = false;
+
+    const feed = followDeployment({ feed: platform.feed, sink: state, clock, log, random: Math.random, signal });
+
+    const isStale = (): boolean => clock.now() - (feed.lastContact() ?? -Infinity) > staleMilliseconds;
+
+    const handle = async ({ message, body, sink, callerGone, arrivedAt }: CallerRequest): Promise<void> => {
+        const envelope = platform.heads.readEnvelope(message);
+        const table = state.routeTable();
+        if (table === undefined) {
+            log.failure(envelope.requestId, "refused", { code: "not-ready" });
+            sink.refuse(refusal("not-ready", [config.host], 1));
+            return;
+        }
+        const admission = authorize(table, envelope);
+        if (admission.kind !== "allowed") {
+            const { version } = table.configuration;
+            const code = isStale() ? "not-ready" : admission.kind;
+            log.failure(envelope.requestId, "refused", { code, reason: admission.kind, configuration: version });
+            const parameters = code === "unknown-route" ? [envelope.method, envelope.path] : [config.host];
+            sink.refuse(refusal(code, parameters, code === "not-ready" ? 1 : undefined));
+            return;
+        }
+        const { route, account, priority } = admission;
+        const service = chooseService(route, Math.random()) ?? "";
+        const patience = envelope.patienceMilliseconds ?? defaultPatienceMilliseconds;
+        const answerBy = arrivedAt + Math.min(patience, route.timeoutMilliseconds);
+        const bounded = boundSignal(callerGone, answerBy - clock.now());
+        const context: RequestContext = {
+            envelope,
+            route,
+            service,
+            clientAccount: account?.name,
+            priority,
+            arrivedAt,
+            patienceUntil: arrivedAt + patience,
+            answerBy,
+            send: createSender(platform.heads, message, body),
+            sink,
+            signal: bounded.signal,
+        };
+        metrics.count(`ingress_requests_total{kind="${route.kind}"}`);
+        await (route.kind === "streaming" ? runStream : runPlain)(context);
+        bounded.release();
+        if (callerGone.aborted) {
+            metrics.count("ingress_callers_gone_total");
+            log.request(envelope.requestId, "caller gone", { afterMilliseconds: Math.round(clock.now() - arrivedAt) });
+        }
+    };
+
+    const callers = await startCallerServer({
+        address: config.callers,
+        heads: platform.heads,
+        limits: () => state.routeTable()?.configuration.limits,
+        handle,
+        onError: error => logger.debug("connection failed", { reason: error.message }),
+    });
+    const isReady = (): boolean => !isStopping && state.routeTable() !== undefined;
+    const readiness = await startReadinessServer(config.readiness, platform.readinessPath, isReady);
+    const dump = (): Record<string, unknown> => ({
+        host: config.host,
+        availabilityZone: config.availabilityZone,
+        configuration: state.routeTable()?.configuration.version,
+        storeContactAgo: Math.round(clock.now() - (feed.lastContact() ?? 0)),
+        evacuatedZones: state.evacuatedZones(),
+        upstreams: state.all(),
+        groups: streamPlaces.groups(),
+    });
+    const metricsServer = await startMetricsServer(`${config.ip}:${config.internalPorts[0]}`, metrics.text, dump);
+
+    return {
+        stop: async () => {
+            isStopping = true;
+            callers.startDraining();
+            const startedAt = clock.now();
+            const graceMilliseconds = config.graceSeconds * 1_000 - graceReserveMilliseconds;
+            await clock.sleep(idleCloseMilliseconds, signal);
+            callers.closeIdle();
+            while (callers.inProgress() > 0 && clock.now() - startedAt < graceMilliseconds) {
+                await clock.sleep(drainCheckMilliseconds, signal);
+            }
+            callers.close();
+            await Promise.all([readiness.close(), metricsServer.close()]);
+        },
+    };
+};
--- a/src/transport/systemClock.ts
+++ b/src/transport/systemClock.ts
@@ -20,3 +20,6 @@
             signal.addEventListener("abort", finish);
         }),
 };
+
+/** A clock that neither jumps nor runs back, in milliseconds since the process started. */
+export const steadyClock: Clock = { now: () => performance.now(), sleep: systemClock.sleep };
