Let entries tell each other their counts, and limit streams by group over all entries

Cause: each entry limited its own streams, so an uneven balancer left places unused at one entry while another refused, and ranks were chosen on a ninth of the counts. Change: datagrams between entries, found through a list in the store; one estimate a group, leaning towards the others'.

--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -56,7 +56,8 @@
         upstreams.set(upstream.id, { ...upstream, coldUntil, goneAt: undefined });
         if (known === undefined || known.isDraining !== upstream.isDraining || known.bornAt !== upstream.bornAt) {
             const { id, service, address, availabilityZone, isDraining, coldMilliseconds } = upstream;
-            log.belief("upstream listed", { id, service, address, availabilityZone, isDraining, coldMilliseconds });
+            const group = upstream.group?.name;
+            log.belief("upstream listed", { id, service, address, availabilityZone, group, isDraining, coldMilliseconds });
         }
     };
 
--- a/src/coordination/ingress/groupLimit.ts
+++ b/src/coordination/ingress/groupLimit.ts
@@ -1,42 +1,57 @@
 /**
- * How many streams this entry keeps running on one lock-step group.
+ * How many streams all entries together keep running on one lock-step group.
  *
  * Load it answers: more streams than a group can pace. All ranks of a group take each pass together and a pass slows
  * with the streams that run, so beyond a point every further stream makes all of them late. The pause between two
- * events of a stream is one pass, which every entry sees without a message: the limit grows a little while it is used up
- * and the pauses are short, and is cut when they near what callers accept. A stalled group shows pauses that no load
- * explains; they say nothing about its capacity.
+ * events of a stream is one pass, which every entry sees without a message: the estimate grows a little while it is used
+ * up and the pauses are short, and is cut when they near what callers accept. Entries lean towards each other's
+ * estimates, so that one with few streams, and few pauses to judge by, doesn't drift away.
+ *
+ * A stalled group shows pauses that no load explains; they say nothing about its capacity.
  */
 import type { Clock } from "../../state/types.js";
 
 export type GroupLimit = {
     recordPause: (milliseconds: number, gapTargetMilliseconds: number) => void;
+    /** Streams that this entry runs. */
     running: () => number;
-    hasPlace: () => boolean;
-    /** How full it is, from 0; 1 and more when no place is left. */
-    load: () => number;
+    limit: () => number;
     take: () => void;
     release: () => void;
-    limit: () => number;
+};
+
+export type GroupLimitOptions = {
+    clock: Pick<Clock, "now">;
+    startLimit: number;
+    /** Streams that all entries run on the group. */
+    runningOverall: () => number;
+    /** What the other entries estimate; undefined if none does. */
+    limitElsewhere: () => number | undefined;
+    /** The places of the ranks that are there now. */
+    largestLimit: () => number;
 };
 
 const windowMilliseconds = 250;
 /** Shares of the gap target, from trials: thresholds of 85 and 110 in place of 100 ms of 120 served less. */
 const growBelow = 0.71;
 const cutAbove = 0.83;
-const growthPerWindow = 0.25;
-const lightCut = 0.95;
-const hardCut = 0.85;
+/** Streams added in one window, about 6 a second: two seconds from half to full use of a group of 8 ranks. */
+const growthPerWindow = 1.5;
+const lightCut = 0.96;
+const hardCut = 0.88;
 /** Beyond this share of the gap target the cut is the hard one. */
 const hardCutAbove = 1.0;
 /** Pauses longer than this many gap targets come from a stall, not from load. */
 const stallTargets = 4;
 const leastPauses = 4;
 const pausePercentile = 0.8;
-const smallestLimit = 1;
+const smallestLimit = 4;
+/** How far an estimate moves towards the others' in one window. */
+const leaning = 0.2;
 
-export const createGroupLimit = (clock: Pick<Clock, "now">, startLimit: number, largestLimit: number): GroupLimit => {
-    let limit = startLimit;
+export const createGroupLimit = (options: GroupLimitOptions): GroupLimit => {
+    const { clock, runningOverall, limitElsewhere, largestLimit } = options;
+    let limit = options.startLimit;
     let running = 0;
     let mostRunning = 0;
     let pauses: number[] = [];
@@ -47,14 +62,16 @@
             const sorted = pauses.sort((left, right) => left - right);
             const high = sorted[Math.floor(sorted.length * pausePercentile)] ?? 0;
             if (high > cutAbove) {
-                limit = Math.max(smallestLimit, limit * (high > hardCutAbove ? hardCut : lightCut));
+                limit *= high > hardCutAbove ? hardCut : lightCut;
             }
-            else if (high < growBelow && mostRunning >= Math.floor(limit)) {
-                limit = Math.min(largestLimit, limit + growthPerWindow);
+            else if (high < growBelow && mostRunning >= Math.floor(limit) - 1) {
+                limit += growthPerWindow;
             }
         }
+        limit += ((limitElsewhere() ?? limit) - limit) * leaning;
+        limit = Math.max(smallestLimit, Math.min(largestLimit(), limit));
         pauses = [];
-        mostRunning = running;
+        mostRunning = runningOverall();
         windowStart = clock.now();
     };
 
@@ -69,15 +86,13 @@
             }
         },
         running: () => running,
-        hasPlace: () => running + 1 <= Math.max(smallestLimit, limit),
-        load: () => running / Math.max(smallestLimit, limit),
+        limit: () => limit,
         take: () => {
             running += 1;
-            mostRunning = Math.max(mostRunning, running);
+            mostRunning = Math.max(mostRunning, runningOverall());
         },
         release: () => {
             running -= 1;
         },
-        limit: () => limit,
     };
 };
--- /dev/null
+++ b/src/coordination/ingress/peerLoad.ts
@@ -0,0 +1,99 @@
+/**
+ * What the other entries said they run, as far as it is fresh.
+ *
+ * Entries choose ranks and admit streams on the sum of all entries' counts, so each tells the others several times a
+ * second. What an entry said last is dropped when it falls silent: its streams then end or time out by themselves.
+ */
+import type { Clock } from "../../state/types.js";
+import type { IngressLog } from "./ingressLog.js";
+
+/** What one entry says of itself. */
+export type EntryNews = {
+    host: string;
+    /** Changes with each start of the entry. */
+    incarnation: string;
+    /** Grows with each message of one incarnation. */
+    sequence: number;
+    /** Requests that it runs, by upstream. */
+    running: Record<string, number>;
+    /** Its estimate of the streams that each group can pace. */
+    limits: Record<string, number>;
+    /** Version of the configuration that it has in force, if any. */
+    configuration: number | undefined;
+    /** How long ago the store answered it, in milliseconds; undefined if never. */
+    storeAge: number | undefined;
+};
+
+export type PeerLoad = {
+    /** Takes news that came from `address`; older news than known are ignored. */
+    take: (news: EntryNews, address: string) => void;
+    /** Requests that the other entries run on an upstream. */
+    runningOn: (id: string) => number;
+    /** The other entries' mean estimate for a group; undefined if none has one. */
+    limitOf: (group: string) => number | undefined;
+    /** Entries that are heard, this one included. */
+    entries: () => number;
+    /** Addresses of entries that are heard and in contact with the store, the last contact first. */
+    inContact: () => { address: string; configuration: number | undefined; }[];
+};
+
+/** Several messages may be lost or late before an entry counts as silent. */
+const silentMilliseconds = 1_500;
+const contactMilliseconds = 1_200;
+
+type Heard = { news: EntryNews; address: string; at: number; };
+
+export const createPeerLoad = (clock: Pick<Clock, "now">, log: IngressLog): PeerLoad => {
+    const heard = new Map<string, Heard>();
+    let totals = new Map<string, number>();
+    let totalsAt = -Infinity;
+    /** Sums are made anew this often at most, as every admitted request reads them. */
+    const totalsAge = 10;
+
+    const fresh = (): Heard[] => {
+        for (const [host, { at, news }] of heard) {
+            if (clock.now() - at > silentMilliseconds) {
+                heard.delete(host);
+                log.dependency(`entry ${host}`, "lost", { silentFor: Math.round(clock.now() - at), sequence: news.sequence });
+            }
+        }
+        return [...heard.values()];
+    };
+
+    const sum = (): Map<string, number> => {
+        if (clock.now() - totalsAt >= totalsAge) {
+            totals = new Map();
+            totalsAt = clock.now();
+            for (const { news } of fresh()) {
+                for (const [id, count] of Object.entries(news.running)) {
+                    totals.set(id, (totals.get(id) ?? 0) + count);
+                }
+            }
+        }
+        return totals;
+    };
+
+    return {
+        take: (news, address) => {
+            const known = heard.get(news.host);
+            if (known === undefined) {
+                log.dependency(`entry ${news.host}`, "regained", { address, incarnation: news.incarnation });
+            }
+            else if (known.news.incarnation === news.incarnation && known.news.sequence >= news.sequence) {
+                return;
+            }
+            heard.set(news.host, { news, address, at: clock.now() });
+        },
+        runningOn: id => sum().get(id) ?? 0,
+        limitOf: group => {
+            const limits = fresh().flatMap(({ news }) => news.limits[group] ?? []);
+            return limits.length === 0 ? undefined : limits.reduce((total, limit) => total + limit, 0) / limits.length;
+        },
+        entries: () => fresh().length + 1,
+        inContact: () =>
+            fresh()
+                .filter(({ news }) => news.storeAge !== undefined && news.storeAge < contactMilliseconds)
+                .sort((left, right) => (left.news.storeAge ?? 0) - (right.news.storeAge ?? 0))
+                .map(({ news, address }) => ({ address, configuration: news.configuration })),
+    };
+};
--- a/src/coordination/ingress/streamPlaces.ts
+++ b/src/coordination/ingress/streamPlaces.ts
@@ -1,12 +1,13 @@
 /**
  * Places for streams: which group and rank the next stream of a service goes to, and whether one is free at all.
  *
- * Among groups with a free place the least loaded goes first; within a group the rank with the fewest streams, counting
- * those that the other entries say they run, since the group steps at the pace of its most loaded rank.
+ * Counts are those of all entries. Among groups with a free place the least loaded goes first; within a group the rank
+ * with the fewest streams, since the group steps at the pace of its most loaded rank.
  */
 import type { Clock } from "../../state/types.js";
 import type { DeploymentState, KnownUpstream } from "./deploymentState.js";
 import { createGroupLimit, type GroupLimit } from "./groupLimit.js";
+import type { PeerLoad } from "./peerLoad.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
 export type Place = {
@@ -20,42 +21,54 @@
     take: (service: string, avoided: ReadonlySet<string>, isOwed: boolean) => Place | undefined;
     /** Streams of this entry by upstream. */
     running: () => ReadonlyMap<string, number>;
-    /** Limit and running streams of each group, for dump and logs. */
-    groups: () => { group: string; limit: number; running: number; }[];
+    /** Limit, and running streams of this entry and of all, for each group. */
+    groups: () => { group: string; limit: number; running: number; overall: number; }[];
     /** Whether any upstream of the service may be given requests. */
     hasUpstream: (service: string) => boolean;
 };
 
 export type StreamPlacesOptions = {
-    state: Pick<DeploymentState, "usable">;
+    state: Pick<DeploymentState, "usable" | "all">;
     health: Pick<UpstreamHealth, "isPaused">;
     clock: Pick<Clock, "now">;
-    /** Entries that share the groups, this one included. */
-    entries: () => number;
-    /** Streams that the other entries run on an upstream. */
-    runningElsewhere: (id: string) => number;
+    peers: Pick<PeerLoad, "runningOn" | "limitOf">;
     random: () => number;
 };
 
 /** A share of the group's slots to begin with, before any pause was seen. */
-const startShare = 0.75;
-/** Other entries may be idle, so a limit may grow to several times the even share. */
-const largestShare = 4;
+const startShare = 0.7;
 
-export const groupOf = ({ group, service }: KnownUpstream): string => group?.name ?? service;
+export const groupOf = ({ group, service }: Pick<KnownUpstream, "group" | "service">): string => group?.name ?? service;
+
+type OpenGroup = { limit: GroupLimit; ranks: KnownUpstream[]; load: number; };
 
 export const createStreamPlaces = (options: StreamPlacesOptions): StreamPlaces => {
-    const { state, health, clock, entries, runningElsewhere, random } = options;
+    const { state, health, clock, peers, random } = options;
     const limits = new Map<string, GroupLimit>();
     const running = new Map<string, number>();
 
-    const limitOf = (group: string, upstreams: KnownUpstream[]): GroupLimit => {
+    const streamsOn = (id: string): number => (running.get(id) ?? 0) + peers.runningOn(id);
+
+    const ranksOf = (group: string): KnownUpstream[] => state.all().filter(upstream => groupOf(upstream) === group);
+
+    const sum = (upstreams: KnownUpstream[], value: (upstream: KnownUpstream) => number): number =>
+        upstreams.reduce((total, upstream) => total + value(upstream), 0);
+
+    const runningOverall = (group: string): number => sum(ranksOf(group), ({ id }) => streamsOn(id));
+
+    const limitOf = (group: string): GroupLimit => {
         const known = limits.get(group);
         if (known !== undefined) {
             return known;
         }
-        const evenShare = upstreams.reduce((sum, { slots }) => sum + slots, 0) / Math.max(1, entries());
-        const created = createGroupLimit(clock, evenShare * startShare, evenShare * largestShare);
+        const slots = (): number => sum(ranksOf(group), upstream => upstream.slots);
+        const created = createGroupLimit({
+            clock,
+            startLimit: peers.limitOf(group) ?? slots() * startShare,
+            runningOverall: () => runningOverall(group),
+            limitElsewhere: () => peers.limitOf(group),
+            largestLimit: slots,
+        });
         limits.set(group, created);
         return created;
     };
@@ -66,14 +79,28 @@
         return sound.length > 0 ? sound : usable;
     };
 
-    const streamsOn = (id: string): number => (running.get(id) ?? 0) + runningElsewhere(id);
+    /** Groups that have a place, the least loaded first. */
+    const openGroups = (upstreams: KnownUpstream[], isOwed: boolean): OpenGroup[] => {
+        const byGroup = new Map<string, KnownUpstream[]>();
+        for (const upstream of upstreams) {
+            const group = groupOf(upstream);
+            byGroup.set(group, [...(byGroup.get(group) ?? []), upstream]);
+        }
+        return [...byGroup]
+            .map(([group, ranks]) => {
+                const limit = limitOf(group);
+                return { limit, ranks, load: (runningOverall(group) + 1) / limit.limit() };
+            })
+            .filter(({ load }) => isOwed || load <= 1)
+            .sort((left, right) => left.load - right.load);
+    };
 
-    const leastBusy = (upstreams: KnownUpstream[]): KnownUpstream | undefined => {
+    const leastBusy = (ranks: KnownUpstream[]): KnownUpstream | undefined => {
         // Starting at a random rank keeps entries that see the same counts from choosing the same one.
-        const start = Math.floor(random() * upstreams.length);
+        const start = Math.floor(random() * ranks.length);
         let best: KnownUpstream | undefined;
-        for (let step = 0; step < upstreams.length; step += 1) {
-            const upstream = upstreams[(start + step) % upstreams.length] as KnownUpstream;
+        for (let step = 0; step < ranks.length; step += 1) {
+            const upstream = ranks[(start + step) % ranks.length] as KnownUpstream;
             if (best === undefined || streamsOn(upstream.id) < streamsOn(best.id)) {
                 best = upstream;
             }
@@ -83,22 +110,14 @@
 
     return {
         take: (service, avoided, isOwed) => {
-            const byGroup = new Map<string, KnownUpstream[]>();
-            for (const upstream of candidates(service, avoided)) {
-                const group = groupOf(upstream);
-                byGroup.set(group, [...(byGroup.get(group) ?? []), upstream]);
-            }
-            const open = [...byGroup]
-                .map(([group, upstreams]) => ({ upstreams, limit: limitOf(group, upstreams) }))
-                .filter(({ limit }) => isOwed || limit.hasPlace())
-                .sort((left, right) => left.limit.load() - right.limit.load());
-            const upstream = open[0] === undefined ? undefined : leastBusy(open[0].upstreams);
-            const limit = open[0]?.limit;
-            if (upstream === undefined || limit === undefined) {
+            const [open] = openGroups(candidates(service, avoided), isOwed);
+            const upstream = open === undefined ? undefined : leastBusy(open.ranks);
+            if (open === undefined || upstream === undefined || !isOwed && streamsOn(upstream.id) >= upstream.slots) {
                 return undefined;
             }
-            limit.take();
+            const { limit } = open;
             running.set(upstream.id, (running.get(upstream.id) ?? 0) + 1);
+            limit.take();
             return {
                 upstream,
                 recordPause: limit.recordPause,
@@ -114,6 +133,7 @@
                 group,
                 limit: Math.round(limit.limit() * 10) / 10,
                 running: limit.running(),
+                overall: runningOverall(group),
             })),
         hasUpstream: service => state.usable(service).length > 0,
     };
--- a/src/programs/ingress.ts
+++ b/src/programs/ingress.ts
@@ -5,6 +5,7 @@
 import { defineCommand, runMain } from "citty";
 import { platformHeads } from "../../platform/requestHeaders.js";
 import { paths } from "../../platform/names.js";
+import { createMemberList } from "../../platform/memberRecords.js";
 import { createStoreClient } from "../../platform/storeClient.js";
 import { createDeploymentFeed } from "../../platform/storeRecords.js";
 import { ingressConfigSchema } from "../protocol/ingressConfig.js";
@@ -27,7 +28,12 @@
         });
         const lifetime = new AbortController();
         const store = createStoreClient(config.store.address, lifetime.signal);
-        const adapter = { heads: platformHeads, feed: createDeploymentFeed(store), readinessPath: paths.readiness };
+        const adapter = {
+            heads: platformHeads,
+            feed: createDeploymentFeed(store),
+            members: createMemberList(store),
+            readinessPath: paths.readiness,
+        };
         logger.info("starting", { callers: config.callers, store: config.store.address });
         const daemon = await startIngress(config, adapter, logger, lifetime.signal);
         logger.info("started", { callers: config.callers, startMilliseconds: Math.round(performance.now()) });
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -1,12 +1,15 @@
 /**
  * An entry on a platform whose store lists configuration and upstreams: listener, decisions and followers in one place.
  */
+import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import { createMetrics } from "../../coordination/metrics.js";
 import { createRetryBudget } from "../../coordination/retryBudget.js";
 import { type DeploymentFeed, followDeployment } from "../../coordination/ingress/deploymentFeed.js";
 import { createDeploymentState } from "../../coordination/ingress/deploymentState.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
+import type { MemberList } from "../../coordination/ingress/memberList.js";
+import { createPeerLoad } from "../../coordination/ingress/peerLoad.js";
 import { createPlainPlaces } from "../../coordination/ingress/plainPlaces.js";
 import { createPlainTask } from "../../coordination/ingress/plainTask.js";
 import type { RequestContext, SharedParts } from "../../coordination/ingress/requestContext.js";
@@ -22,6 +25,7 @@
 import type { Logger } from "../logger.js";
 import { steadyClock } from "../systemClock.js";
 import { type CallerRequest, startCallerServer } from "./callerServer.js";
+import { startEntryGossip } from "./entryGossip.js";
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
 import { createSender } from "./upstreamSender.js";
 
@@ -29,6 +33,8 @@
 export type PlatformAdapter = {
     heads: RequestHeads;
     feed: DeploymentFeed;
+    /** The entries of this deployment. */
+    members: MemberList;
     readinessPath: string;
 };
 
@@ -50,6 +56,7 @@
 const retryReserveShare = 0.5;
 /** Part of the allowed ratio that this entry uses; the rest covers requests that upstreams reject by themselves. */
 const retryRatioShare = 0.75;
+const fewestEntries = 8;
 
 export const startIngress = async (
     config: IngressConfig,
@@ -63,23 +70,49 @@
     const metrics = createMetrics();
     const state = createDeploymentState(clock, log);
     const health = createUpstreamHealth(clock, log);
-    const entries = (): number => 8;
-    const runningElsewhere = (): number => 0;
-    const retriesPerWindow = config.retrySlack * retryReserveShare / entries();
+    const peers = createPeerLoad(clock, log);
+    // The reserve is laid out for the fewest entries that the sites have; where there are more, each uses less of it.
+    const retriesPerWindow = config.retrySlack * retryReserveShare / Math.max(fewestEntries, peers.entries());
     const retryBudget = createRetryBudget(clock, () => config.retryRatio * retryRatioShare, {
         retries: retriesPerWindow / 2,
         perSecond: retriesPerWindow / 2 / config.retryWindowSeconds,
         largestBalance: retriesPerWindow,
     });
     const shared: SharedParts = { clock, log, metrics, health, retryBudget, random: Math.random };
-    const streamPlaces = createStreamPlaces({ state, health, clock, entries, runningElsewhere, random: Math.random });
-    const plainPlaces = createPlainPlaces(state, health, config.availabilityZone, runningElsewhere);
+    const streamPlaces = createStreamPlaces({ state, health, clock, peers, random: Math.random });
+    const plainPlaces = createPlainPlaces(state, health, config.availabilityZone, peers.runningOn);
     const runStream = createStreamTask(streamPlaces, createStreamAdmission(streamPlaces, shared), shared);
     const runPlain = createPlainTask(plainPlaces, shared);
+    const incarnation = randomUUID();
     let isStopping = false;
 
+    const runningByUpstream = (): Record<string, number> =>
+        Object.fromEntries([...streamPlaces.running(), ...plainPlaces.running()].filter(([, count]) => count > 0));
+
     const feed = followDeployment({ feed: platform.feed, sink: state, clock, log, random: Math.random, signal });
 
+    const storeAge = (): number | undefined => {
+        const contact = feed.lastContact();
+        return contact === undefined ? undefined : Math.round(clock.now() - contact);
+    };
+    startEntryGossip({
+        host: config.host,
+        ip: config.ip,
+        port: config.internalPorts[0],
+        members: platform.members,
+        peers,
+        news: () => ({
+            incarnation,
+            running: runningByUpstream(),
+            limits: Object.fromEntries(streamPlaces.groups().map(({ group, limit }) => [group, limit])),
+            configuration: state.routeTable()?.configuration.version,
+            storeAge: storeAge(),
+        }),
+        clock,
+        log,
+        signal,
+    });
+
     const isStale = (): boolean => clock.now() - (feed.lastContact() ?? -Infinity) > staleMilliseconds;
 
     const handle = async ({ message, body, sink, callerGone, arrivedAt }: CallerRequest): Promise<void> => {
@@ -139,7 +172,8 @@
         host: config.host,
         availabilityZone: config.availabilityZone,
         configuration: state.routeTable()?.configuration.version,
-        storeContactAgo: Math.round(clock.now() - (feed.lastContact() ?? 0)),
+        storeContactAgo: storeAge(),
+        entries: peers.entries(),
         evacuatedZones: state.evacuatedZones(),
         upstreams: state.all(),
         groups: streamPlaces.groups(),
