Keep expert maps close to the demand, from agents beside the ranks

Cause: with the map that engines start with, the most loaded rank had 3.4 times the mean and a pass took twice as long as it need. Change: an agent beside each rank reads counts where they are free; the lowest rank that is heard plans from samples of single passes and switches all ranks by hold and arm, with rank 0 as the point of decision.

--- /dev/null
+++ b/src/coordination/experts/mapCoordinator.ts
@@ -0,0 +1,185 @@
+/**
+ * Keeps the expert map of one group close to its demand: samples, plans, switches, and resolves what others left.
+ *
+ * Any number of agents may act as coordinator at once without harm (see `rankSwitch.ts`); the agents agree on the lowest
+ * rank that is heard only to save work.
+ */
+import type { ExpertShape } from "../../state/ingressTypes.js";
+import type { Clock } from "../../state/types.js";
+import type { IngressLog } from "../ingress/ingressLog.js";
+import type { Metrics } from "../metrics.js";
+import { createLoadSamples, type LoadSamples } from "./loadSamples.js";
+import type { EngineAddress, PlacedExperts, RankEngines, RankReport } from "./rankEngine.js";
+import { createRankSwitch } from "./rankSwitch.js";
+import { mapInTurn, planFromSamples } from "./sampledPlacement.js";
+
+/** What the agent of one rank tells the coordinator. */
+export type RankNews = { report: RankReport; step: number; counts: number[]; };
+
+export type MapCoordinatorOptions = {
+    ownRank: number;
+    ranks: number;
+    shape: ExpertShape;
+    engines: RankEngines;
+    /** The engines of the group, by rank; undefined while one is not known. */
+    members: () => EngineAddress[] | undefined;
+    /** Asks one engine directly, for ranks whose agent is silent. */
+    clock: Clock;
+    log: IngressLog;
+    metrics: Metrics;
+    signal: AbortSignal;
+};
+
+export type MapCoordinator = {
+    take: (news: RankNews) => void;
+    /** Plans and switches while `isActive`; resolves with the signal. */
+    run: (isActive: () => boolean) => Promise<void>;
+    status: () => Record<string, unknown>;
+};
+
+const roundMilliseconds = 300;
+/** Fewest samples to plan from: half a second of passes. */
+const leastSamples = 2;
+/** Copies that one rank makes for one map; at 150 ms each they take about a second. */
+const newPerRank = 8;
+/** For the first map, which starts from one that knows nothing of the demand. */
+const newPerRankAtFirst = 14;
+const leastGain = 0.012;
+/** A plan must promise this much less skew to be worth the copies and orders. */
+const leastSkewGain = 0.06;
+const prepareMilliseconds = 9_000;
+
+export const createMapCoordinator = (options: MapCoordinatorOptions): MapCoordinator => {
+    const { ownRank, ranks, shape, engines, members, clock, log, metrics, signal } = options;
+    const samples: LoadSamples = createLoadSamples(ranks);
+    let epoch = -1;
+    let newestStep = 0;
+    let highestVersion = 0;
+    /** The map in force, with its version; undefined while it must be read from the engines. */
+    let present: { version: number; map: PlacedExperts; } | undefined;
+    let lastPlan: Record<string, unknown> = {};
+
+    const enterEpoch = (report: RankReport): void => {
+        epoch = report.epoch;
+        newestStep = 0;
+        present = undefined;
+        samples.clear();
+        log.belief("group formed", { group: report.group, epoch, isOpen: report.isOpen });
+    };
+
+    const see = (report: RankReport): void => {
+        if (report.epoch > epoch) {
+            enterEpoch(report);
+        }
+        newestStep = Math.max(newestStep, report.step);
+        highestVersion = Math.max(highestVersion, report.mapInForce, report.prepared ?? 0, report.armed?.version ?? 0);
+    };
+
+    /** Versions and passes are dealt out to ranks by turns, so that two coordinators never use the same. */
+    const nextOwn = (above: number): number => above + 1 + (((ownRank - above - 1) % ranks) + ranks) % ranks;
+
+    const nextVersion = (): number => {
+        highestVersion = nextOwn(highestVersion);
+        return highestVersion;
+    };
+
+    /** Reads the map in force from the engines, where this coordinator did not make it. */
+    const readPresent = async (engineOf: EngineAddress[], inForce: number): Promise<PlacedExperts | undefined> => {
+        if (present?.version === inForce) {
+            return present.map;
+        }
+        if (inForce === 0) {
+            present = { version: 0, map: mapInTurn(shape, ranks) };
+            return present.map;
+        }
+        const lists = await Promise.all(engineOf.map(engine => engines.held(engine, signal)));
+        const held = lists.flatMap(list => list.isOk() && list.value.version === inForce ? [list.value.experts] : []);
+        if (held.length < ranks) {
+            return undefined;
+        }
+        const map = Array.from({ length: shape.layers }, (_, layer) => held.map(experts => experts[layer] ?? []));
+        present = { version: inForce, map };
+        return map;
+    };
+
+    const round = async (engineOf: EngineAddress[]): Promise<void> => {
+        const first = engineOf[0];
+        const report = first === undefined ? undefined : await engines.report(first, signal);
+        if (report === undefined || report.isErr()) {
+            return;
+        }
+        see(report.value);
+        if (!report.value.isOpen) {
+            return;
+        }
+        const inForce = await readPresent(engineOf, report.value.mapInForce);
+        if (inForce === undefined) {
+            return;
+        }
+        const change = createRankSwitch({
+            engines,
+            members: () => engineOf,
+            epoch,
+            nextVersion,
+            nextStep: lead => nextOwn(newestStep + lead - 1),
+            clock,
+            prepareMilliseconds,
+        });
+        const { group, held } = report.value;
+        if (held !== undefined) {
+            const isGone = await change.resolve(held, inForce, signal);
+            metrics.count("experts_holds_resolved_total");
+            log.belief("hold resolved", { group, epoch, step: held, isGone });
+            return;
+        }
+        const taken = samples.samples();
+        if (taken.length < leastSamples) {
+            return;
+        }
+        const limits = { newPerRank: report.value.mapInForce === 0 ? newPerRankAtFirst : newPerRank, leastGain };
+        const startedAt = clock.now();
+        const plan = planFromSamples(inForce, taken, shape, limits);
+        const { skewNow, skewPlanned, copies } = plan;
+        metrics.observe("experts_planning", clock.now() - startedAt);
+        if (copies === 0 || skewNow - skewPlanned < leastSkewGain) {
+            return;
+        }
+        const version = nextVersion();
+        const outcome = await change.run(version, plan.map, signal);
+        if (outcome === "done") {
+            present = { version, map: plan.map };
+        }
+        metrics.count(`experts_switches_total{outcome="${outcome}"}`);
+        lastPlan = {
+            group,
+            epoch,
+            version,
+            outcome,
+            copies,
+            samples: taken.length,
+            skewNow: Math.round(skewNow * 100) / 100,
+            skewPlanned: Math.round(skewPlanned * 100) / 100,
+            tookMilliseconds: Math.round(clock.now() - startedAt),
+        };
+        log.belief("expert map", lastPlan);
+    };
+
+    return {
+        take: ({ report, step, counts }) => {
+            see(report);
+            if (report.epoch === epoch) {
+                samples.take({ rank: report.rank, step, counts });
+            }
+        },
+        run: async isActive => {
+            while (!signal.aborted) {
+                const engineOf = members();
+                if (isActive() && engineOf !== undefined) {
+                    await round(engineOf);
+                }
+                await clock.sleep(roundMilliseconds, signal);
+            }
+        },
+        status: () => ({ epoch, highestVersion, newestStep, lastPlan }),
+    };
+};
--- /dev/null
+++ b/src/coordination/experts/rankSwitch.ts
@@ -0,0 +1,174 @@
+/**
+ * Takes a lock-step group from one expert map to the next, with orders to the engines of all ranks.
+ *
+ * No pass may begin while two ranks have different maps, whatever is lost, late or done twice, and whoever dies. Rank 0
+ * decides: `hold` there keeps a pass from beginning, and `arm` there commits the switch at that pass.
+ *
+ * 1. Every rank prepares the map under a version that no other coordinator uses, rank 0 first.
+ * 2. Rank 0 is held at a pass ahead. An engine has one hold at a time, and coordinators use different passes, so one
+ *    that gets its hold is alone.
+ * 3. Rank 0 is armed, then the others. Only when each has said so itself is the pass released.
+ *
+ * Whoever finds a hold that it did not set resolves it. While rank 0 is armed and the others are armed or have that map
+ * prepared, the way is forward: the rest are armed and the pass is released. Otherwise the armed ranks are disarmed and
+ * all prepare the present map under a new version, rank 0 first; a late order about the old version is refused by every
+ * engine from then on, so the pass can be released. The two ways exclude each other: an armed rank refuses to prepare,
+ * and one that has prepared another version refuses to be armed.
+ *
+ * Every order names the epoch; a group that forms anew forgets maps, holds and orders, and refuses those of before.
+ */
+import type { Result } from "neverthrow";
+import type { Clock } from "../../state/types.js";
+import type { EngineAddress, EngineOrder, OrderOutcome, PlacedExperts, RankEngines, RankReport } from "./rankEngine.js";
+
+/** `done`: the new map is in force; `refused`: nothing was held; `open`: a hold may stand and must be resolved. */
+export type SwitchOutcome = "done" | "refused" | "open";
+
+export type RankSwitch = {
+    /** Switches all ranks to `map` under `version`; `present` is the map in force. */
+    run: (version: number, map: PlacedExperts, signal: AbortSignal) => Promise<SwitchOutcome>;
+    /** Ends a hold at `step` that has nobody who works on it; gives whether it is gone. */
+    resolve: (step: number, present: PlacedExperts, signal: AbortSignal) => Promise<boolean>;
+};
+
+export type RankSwitchOptions = {
+    engines: RankEngines;
+    /** The engines of the group, by rank. */
+    members: () => EngineAddress[];
+    epoch: number;
+    /** A version above all that were seen, which no other coordinator uses. */
+    nextVersion: () => number;
+    /** A pass at least `lead` ahead of the group, which no other coordinator holds. */
+    nextStep: (lead: number) => number;
+    clock: Clock;
+    /** How long the copies of a map may take, in milliseconds. */
+    prepareMilliseconds: number;
+};
+
+/** Passes between the newest report and the hold: with reports up to 300 ms old, four have begun since. */
+const leadSteps = 6;
+const orderTries = 8;
+const retryMilliseconds = 60;
+const pollMilliseconds = 150;
+
+export const createRankSwitch = (options: RankSwitchOptions): RankSwitch => {
+    const { engines, members, epoch, nextVersion, nextStep, clock, prepareMilliseconds } = options;
+
+    /** Gives an order until it is answered; an order of this kind may be given twice. */
+    const order = async (engine: EngineAddress, wanted: EngineOrder, signal: AbortSignal): Promise<OrderOutcome | "unknown"> => {
+        for (let tries = 0; tries < orderTries && !signal.aborted; tries += 1) {
+            const outcome = await engines.order(engine, epoch, wanted, signal);
+            if (outcome.isOk()) {
+                return outcome.value;
+            }
+            await clock.sleep(retryMilliseconds, signal);
+        }
+        return "unknown";
+    };
+
+    const reports = (signal: AbortSignal): Promise<Result<RankReport, string>[]> =>
+        Promise.all(members().map(engine => engines.report(engine, signal)));
+
+    /** Waits until every rank reports `version` prepared and nothing armed. */
+    const awaitPrepared = async (version: number, signal: AbortSignal): Promise<boolean> => {
+        const until = clock.now() + prepareMilliseconds;
+        while (clock.now() < until && !signal.aborted) {
+            const all = await reports(signal);
+            const isPrepared = all.every(report =>
+                report.isOk() && report.value.prepared === version && report.value.armed === undefined
+            );
+            if (isPrepared) {
+                return true;
+            }
+            if (all.some(report => report.isOk() && report.value.epoch !== epoch)) {
+                return false;
+            }
+            await clock.sleep(pollMilliseconds, signal);
+        }
+        return false;
+    };
+
+    /** Has all ranks prepare `map`, rank 0 before the others; false if one refuses. */
+    const prepareAll = async (version: number, map: PlacedExperts, signal: AbortSignal): Promise<boolean> => {
+        const [first, ...others] = members();
+        const wanted: EngineOrder = { kind: "prepare", version, map };
+        if (first === undefined || await order(first, wanted, signal) === "refused") {
+            return false;
+        }
+        const outcomes = await Promise.all(others.map(engine => order(engine, wanted, signal)));
+        // A rank that gave no answer shows in its report whether it prepared.
+        return !outcomes.includes("refused") && awaitPrepared(version, signal);
+    };
+
+    /** Releases the pass until the group has begun it. */
+    const release = async (step: number, signal: AbortSignal): Promise<boolean> => {
+        const [first] = members();
+        if (first === undefined) {
+            return false;
+        }
+        for (let tries = 0; tries < orderTries && !signal.aborted; tries += 1) {
+            const released = await engines.order(first, epoch, { kind: "release", step }, signal);
+            if (released.isOk()) {
+                return true;
+            }
+            await clock.sleep(retryMilliseconds, signal);
+        }
+        return false;
+    };
+
+    const armOthers = async (version: number, step: number, signal: AbortSignal): Promise<boolean> => {
+        const outcomes = await Promise.all(
+            members().slice(1).map(engine => order(engine, { kind: "arm", version, step }, signal)),
+        );
+        return outcomes.every(outcome => outcome === "done");
+    };
+
+    const cleanUp = async (step: number, present: PlacedExperts, signal: AbortSignal): Promise<boolean> => {
+        const all = await reports(signal);
+        const engineOf = members();
+        for (const [rank, report] of all.entries()) {
+            const engine = engineOf[rank];
+            if (engine !== undefined && report.isOk() && report.value.armed !== undefined) {
+                await order(engine, { kind: "disarm", version: report.value.armed.version }, signal);
+            }
+        }
+        return await prepareAll(nextVersion(), present, signal) && release(step, signal);
+    };
+
+    return {
+        run: async (version, map, signal) => {
+            const [first] = members();
+            if (first === undefined || !await prepareAll(version, map, signal)) {
+                return "refused";
+            }
+            const step = nextStep(leadSteps);
+            const held = await order(first, { kind: "hold", step }, signal);
+            if (held !== "done") {
+                return held === "refused" ? "refused" : "open";
+            }
+            const committed = await order(first, { kind: "arm", version, step }, signal);
+            const isArmed = committed === "done" && await armOthers(version, step, signal);
+            return isArmed && await release(step, signal) ? "done" : "open";
+        },
+        resolve: async (step, present, signal) => {
+            const all = await reports(signal);
+            const [first] = all;
+            if (first === undefined || first.isErr() || first.value.epoch !== epoch) {
+                return false;
+            }
+            if (first.value.held !== step) {
+                return true;
+            }
+            const version = first.value.armed?.version;
+            const canGoForward = version !== undefined
+                && all.every(report =>
+                    report.isOk() && (report.value.armed?.version === version || report.value.prepared === version)
+                );
+            if (canGoForward) {
+                return await armOthers(version, step, signal) && release(step, signal);
+            }
+            const isSomeRankUnable = version === undefined || all.every(report => report.isOk());
+            return isSomeRankUnable && cleanUp(step, present, signal);
+        },
+    };
+};
--- a/src/programs/daemon.ts
+++ b/src/programs/daemon.ts
@@ -55,12 +55,12 @@
 };
 
 /** Calls `stop` once, on the first SIGTERM or SIGINT. */
-export const onStopSignal = (stop: (name: string) => Promise<void>): void => {
+export const onStopSignal = (stop: (name: string) => Promise<void> | void): void => {
     let isStopping = false;
     const handle = (name: string): void => {
         if (!isStopping) {
             isStopping = true;
-            void stop(name);
+            void Promise.resolve(stop(name));
         }
     };
     process.on("SIGTERM", handle);
--- a/src/programs/ingress.ts
+++ b/src/programs/ingress.ts
@@ -4,7 +4,7 @@
  */
 import { defineCommand, runMain } from "citty";
 import { platformHeads } from "../../platform/requestHeaders.js";
-import { paths } from "../../platform/names.js";
+import { paths, settingsVariable } from "../../platform/names.js";
 import { createMemberList } from "../../platform/memberRecords.js";
 import { createStoreClient } from "../../platform/storeClient.js";
 import { createDeploymentFeed } from "../../platform/storeRecords.js";
@@ -13,12 +13,9 @@
 import { createLogger } from "../transport/logger.js";
 import { loadConfig, onStopSignal } from "./daemon.js";
 
-/** Where the platform names the settings file. */
-const settingsVariable = "CYCLAMENGAP_BOOT";
-
 const command = defineCommand({
     meta: { name: "cyclamengap-ingress", description: "Entry on a platform that keeps configuration in its store" },
-    args: { config: { type: "string", description: "settings file, JSON with comments; default: CYCLAMENGAP_BOOT" } },
+    args: { config: { type: "string", description: "settings file, JSON with comments; default: the platform's" } },
     run: async ({ args }) => {
         const config = loadConfig(ingressConfigSchema, args.config ?? process.env[settingsVariable] ?? "");
         const logger = createLogger(config.logLevel, {
--- /dev/null
+++ b/src/programs/rank.ts
@@ -0,0 +1,41 @@
+#!/usr/bin/env node
+/**
+ * `cyclamengap-rank`: the agent beside one model server on the users' platform.
+ */
+import { defineCommand, runMain } from "citty";
+import { platformEngines } from "../../platform/engineClient.js";
+import { settingsVariable } from "../../platform/names.js";
+import { createStoreClient } from "../../platform/storeClient.js";
+import { createDeploymentFeed } from "../../platform/storeRecords.js";
+import { rankConfigSchema } from "../protocol/ingressConfig.js";
+import { startRankDaemon } from "../transport/experts/rankDaemon.js";
+import { createLogger } from "../transport/logger.js";
+import { loadConfig, onStopSignal } from "./daemon.js";
+
+const command = defineCommand({
+    meta: { name: "cyclamengap-rank", description: "Keeps the expert map of the group of the server beside it" },
+    args: { config: { type: "string", description: "settings file, JSON with comments; default: the platform's" } },
+    run: async ({ args }) => {
+        const config = loadConfig(rankConfigSchema, args.config ?? process.env[settingsVariable] ?? "");
+        const { host, availabilityZone } = config;
+        const logger = createLogger(config.logLevel, { host, availabilityZone, role: "rank" });
+        const lifetime = new AbortController();
+        const store = createStoreClient(config.store.address, lifetime.signal);
+        logger.info("starting", { engine: config.engine, store: config.store.address });
+        await startRankDaemon(
+            config,
+            { feed: createDeploymentFeed(store), engines: platformEngines },
+            logger,
+            lifetime.signal,
+        );
+        logger.info("started", { engine: config.engine, startMilliseconds: Math.round(performance.now()) });
+        process.on("SIGHUP", () => logger.info("reload"));
+        onStopSignal(name => {
+            logger.info("stopping", { signal: name });
+            lifetime.abort();
+            process.exit(0);
+        });
+    },
+});
+
+await runMain(command);
--- a/src/protocol/ingressConfig.ts
+++ b/src/protocol/ingressConfig.ts
@@ -31,3 +31,13 @@
 });
 
 export type IngressConfig = z.infer<typeof ingressConfigSchema>;
+
+/** Settings file of the agent beside one rank of a group. */
+export const rankConfigSchema = z.object({
+    ...commonFields,
+    /** The engine of the rank. */
+    engine: address,
+    service: z.string().min(1),
+});
+
+export type RankConfig = z.infer<typeof rankConfigSchema>;
--- a/src/state/ingressTypes.ts
+++ b/src/state/ingressTypes.ts
@@ -8,6 +8,16 @@
 /** What may be repeated: `streaming` answers are event streams, and repeatable only where their route can be resumed. */
 export type RequestKind = "idempotent" | "non-idempotent" | "streaming";
 
+/** Sizes of a group's expert maps. */
+export type ExpertShape = {
+    layers: number;
+    experts: number;
+    /** The most experts that a rank holds in one layer. */
+    placesPerRank: number;
+    /** The most experts of one layer that a rank can take in with one map. */
+    newPerMap: number;
+};
+
 export type WeightedService = { service: string; weight: number; };
 
 export type IngressRoute = {
@@ -38,6 +48,8 @@
     name: string;
     /** The most requests a second that a cold upstream bears; 0 where upstreams are never cold. */
     coldRequestsPerSecond: number;
+    /** Sizes of the expert maps of its groups; undefined for a plain service. */
+    experts: ExpertShape | undefined;
 };
 
 /** What a caller may send, and how long it may stay idle. */
