Wait for the pass of a switch before the next, and hold fewer passes ahead

Cause: ranks stay armed until the pass begins and refuse to prepare until then; holds were set up to 14 passes ahead.

--- a/src/coordination/experts/mapCoordinator.ts
+++ b/src/coordination/experts/mapCoordinator.ts
@@ -48,12 +48,13 @@
 /** A plan must promise this much less skew to be worth the copies and orders. */
 const leastSkewGain = 0.06;
 const prepareMilliseconds = 9_000;
+/** One expert of 1,700 MB over a link of 92 Gbit/s. */
+const copyMilliseconds = 148;
 
 export const createMapCoordinator = (options: MapCoordinatorOptions): MapCoordinator => {
     const { ownRank, ranks, shape, engines, members, clock, log, metrics, signal } = options;
     const samples: LoadSamples = createLoadSamples(ranks);
     let epoch = -1;
-    let newestStep = 0;
     let highestVersion = 0;
     /** The map in force, with its version; undefined while it must be read from the engines. */
     let present: { version: number; map: PlacedExperts; } | undefined;
@@ -61,7 +62,6 @@
 
     const enterEpoch = (report: RankReport): void => {
         epoch = report.epoch;
-        newestStep = 0;
         present = undefined;
         samples.clear();
         log.belief("group formed", { group: report.group, epoch, isOpen: report.isOpen });
@@ -71,13 +71,18 @@
         if (report.epoch > epoch) {
             enterEpoch(report);
         }
-        newestStep = Math.max(newestStep, report.step);
         highestVersion = Math.max(highestVersion, report.mapInForce, report.prepared ?? 0, report.armed?.version ?? 0);
     };
 
     /** Versions and passes are dealt out to ranks by turns, so that two coordinators never use the same. */
     const nextOwn = (above: number): number => above + 1 + (((ownRank - above - 1) % ranks) + ranks) % ranks;
 
+    /** Rank 0 may hold any even pass, the others the odd ones by turns, since rank 0 nearly always coordinates. */
+    const nextStep = (step: number, lead: number): number => {
+        const earliest = step + lead;
+        return ownRank === 0 ? earliest + earliest % 2 : 2 * nextOwn(Math.ceil(earliest / 2)) + 1;
+    };
+
     const nextVersion = (): number => {
         highestVersion = nextOwn(highestVersion);
         return highestVersion;
@@ -121,9 +126,10 @@
             members: () => engineOf,
             epoch,
             nextVersion,
-            nextStep: lead => nextOwn(newestStep + lead - 1),
+            nextStep,
             clock,
             prepareMilliseconds,
+            isBesideFirst: ownRank === 0,
         });
         const { group, held } = report.value;
         if (held !== undefined) {
@@ -145,7 +151,7 @@
             return;
         }
         const version = nextVersion();
-        const outcome = await change.run(version, plan.map, signal);
+        const outcome = await change.run(version, plan.map, plan.copiesOfOneRank * copyMilliseconds, signal);
         if (outcome === "done") {
             present = { version, map: plan.map };
         }
@@ -180,6 +186,6 @@
                 await clock.sleep(roundMilliseconds, signal);
             }
         },
-        status: () => ({ epoch, highestVersion, newestStep, lastPlan }),
+        status: () => ({ epoch, highestVersion, lastPlan }),
     };
 };
--- a/src/coordination/experts/rankSwitch.ts
+++ b/src/coordination/experts/rankSwitch.ts
@@ -25,8 +25,13 @@
 export type SwitchOutcome = "done" | "refused" | "open";
 
 export type RankSwitch = {
-    /** Switches all ranks to `map` under `version`; `present` is the map in force. */
-    run: (version: number, map: PlacedExperts, signal: AbortSignal) => Promise<SwitchOutcome>;
+    /** Switches all ranks to `map` under `version`, whose copies take `copyMilliseconds`. */
+    run: (
+        version: number,
+        map: PlacedExperts,
+        copyMilliseconds: number,
+        signal: AbortSignal,
+    ) => Promise<SwitchOutcome>;
     /** Ends a hold at `step` that has nobody who works on it; gives whether it is gone. */
     resolve: (step: number, present: PlacedExperts, signal: AbortSignal) => Promise<boolean>;
 };
@@ -38,21 +43,27 @@
     epoch: number;
     /** A version above all that were seen, which no other coordinator uses. */
     nextVersion: () => number;
-    /** A pass at least `lead` ahead of the group, which no other coordinator holds. */
-    nextStep: (lead: number) => number;
+    /** A pass at least `lead` after `step`, which no other coordinator holds. */
+    nextStep: (step: number, lead: number) => number;
     clock: Clock;
     /** How long the copies of a map may take, in milliseconds. */
     prepareMilliseconds: number;
+    /** Whether rank 0 is on this agent's own machine, where its reports are fresh. */
+    isBesideFirst: boolean;
 };
 
-/** Passes between the newest report and the hold: with reports up to 300 ms old, four have begun since. */
-const leadSteps = 6;
+/** Passes between the report and the hold, so that the orders arrive before the pass would begin. */
+const leadSteps = 3;
+/** From afar a report is some 200 ms old, and three more passes have begun since. */
+const farLeadSteps = 7;
+/** Until the pass of a switch has begun on all ranks; a busy group takes ten passes or more a second. */
+const passMilliseconds = 2_500;
 const orderTries = 8;
 const retryMilliseconds = 60;
 const pollMilliseconds = 150;
 
 export const createRankSwitch = (options: RankSwitchOptions): RankSwitch => {
-    const { engines, members, epoch, nextVersion, nextStep, clock, prepareMilliseconds } = options;
+    const { engines, members, epoch, nextVersion, nextStep, clock, prepareMilliseconds, isBesideFirst } = options;
 
     /** Gives an order until it is answered; an order of this kind may be given twice. */
     const order = async (engine: EngineAddress, wanted: EngineOrder, signal: AbortSignal): Promise<OrderOutcome | "unknown"> => {
@@ -70,8 +81,10 @@
         Promise.all(members().map(engine => engines.report(engine, signal)));
 
     /** Waits until every rank reports `version` prepared and nothing armed. */
-    const awaitPrepared = async (version: number, signal: AbortSignal): Promise<boolean> => {
+    const awaitPrepared = async (version: number, copyMilliseconds: number, signal: AbortSignal): Promise<boolean> => {
         const until = clock.now() + prepareMilliseconds;
+        // Reports from afar are priced, and none can be done before its copies are.
+        await clock.sleep(copyMilliseconds, signal);
         while (clock.now() < until && !signal.aborted) {
             const all = await reports(signal);
             const isPrepared = all.every(report =>
@@ -88,8 +101,26 @@
         return false;
     };
 
+    /** Waits until rank 0 has begun the pass; until then no rank takes another map. */
+    const awaitInForce = async (version: number, signal: AbortSignal): Promise<void> => {
+        const until = clock.now() + passMilliseconds;
+        const [first] = members();
+        while (first !== undefined && clock.now() < until && !signal.aborted) {
+            const report = await engines.report(first, signal);
+            if (report.isOk() && report.value.mapInForce === version) {
+                return;
+            }
+            await clock.sleep(retryMilliseconds, signal);
+        }
+    };
+
     /** Has all ranks prepare `map`, rank 0 before the others; false if one refuses. */
-    const prepareAll = async (version: number, map: PlacedExperts, signal: AbortSignal): Promise<boolean> => {
+    const prepareAll = async (
+        version: number,
+        map: PlacedExperts,
+        copyMilliseconds: number,
+        signal: AbortSignal,
+    ): Promise<boolean> => {
         const [first, ...others] = members();
         const wanted: EngineOrder = { kind: "prepare", version, map };
         if (first === undefined || await order(first, wanted, signal) === "refused") {
@@ -97,7 +128,7 @@
         }
         const outcomes = await Promise.all(others.map(engine => order(engine, wanted, signal)));
         // A rank that gave no answer shows in its report whether it prepared.
-        return !outcomes.includes("refused") && awaitPrepared(version, signal);
+        return !outcomes.includes("refused") && awaitPrepared(version, copyMilliseconds, signal);
     };
 
     /** Releases the pass until the group has begun it. */
@@ -132,23 +163,31 @@
                 await order(engine, { kind: "disarm", version: report.value.armed.version }, signal);
             }
         }
-        return await prepareAll(nextVersion(), present, signal) && release(step, signal);
+        return await prepareAll(nextVersion(), present, 0, signal) && release(step, signal);
     };
 
     return {
-        run: async (version, map, signal) => {
+        run: async (version, map, copyMilliseconds, signal) => {
             const [first] = members();
-            if (first === undefined || !await prepareAll(version, map, signal)) {
+            if (first === undefined || !await prepareAll(version, map, copyMilliseconds, signal)) {
+                return "refused";
+            }
+            const latest = await engines.report(first, signal);
+            if (latest.isErr() || latest.value.epoch !== epoch) {
                 return "refused";
             }
-            const step = nextStep(leadSteps);
+            const step = nextStep(latest.value.step, isBesideFirst ? leadSteps : farLeadSteps);
             const held = await order(first, { kind: "hold", step }, signal);
             if (held !== "done") {
                 return held === "refused" ? "refused" : "open";
             }
             const committed = await order(first, { kind: "arm", version, step }, signal);
             const isArmed = committed === "done" && await armOthers(version, step, signal);
-            return isArmed && await release(step, signal) ? "done" : "open";
+            if (!isArmed || !await release(step, signal)) {
+                return "open";
+            }
+            await awaitInForce(version, signal);
+            return "done";
         },
         resolve: async (step, present, signal) => {
             const all = await reports(signal);
--- a/src/coordination/experts/sampledPlacement.ts
+++ b/src/coordination/experts/sampledPlacement.ts
@@ -20,6 +20,8 @@
     map: PlacedExperts;
     /** Experts copied, over all ranks. */
     copies: number;
+    /** Experts that the rank with the most of them copies, one after another. */
+    copiesOfOneRank: number;
     /** Mean over samples and layers of the heaviest rank's load against the mean rank's. */
     skewNow: number;
     skewPlanned: number;
@@ -196,6 +198,7 @@
     return {
         map: layers.map(({ held }) => held.map(set => [...set].sort((left, right) => left - right))),
         copies,
+        copiesOfOneRank: limits.newPerRank - Math.min(...room),
         skewNow,
         skewPlanned: mean(layers.map(skewOf)),
     };
