Watch groups for stalls, leave a zone that is cut off, and follow ranks that start anew

Cause: in a zone cut the group across the cut answered nothing for seconds while entries kept sending there; callers of the cut zone stayed with entries that could reach no group; after the final fault orders went to ids that the list still named, and were refused until it caught up. Change: an entry stops sending to a group when all its streams fall silent and asks engines until one runs again; it reports not ready when it hears no other zone and no group runs; 421 takes an upstream out at once; engines are addressed as their agents name them.

--- a/src/coordination/experts/mapCoordinator.ts
+++ b/src/coordination/experts/mapCoordinator.ts
@@ -14,17 +14,18 @@
 import { mapInTurn, planFromSamples } from "./sampledPlacement.js";
 
 /** What the agent of one rank tells the coordinator. */
-export type RankNews = { report: RankReport; step: number; counts: number[]; };
+export type RankNews = { report: RankReport; engine: EngineAddress; step: number; counts: number[]; };
 
 export type MapCoordinatorOptions = {
     ownRank: number;
     ranks: number;
     shape: ExpertShape;
     engines: RankEngines;
-    /** The engines of the group, by rank; undefined while one is not known. */
+    /** The engines of the group by the platform's list, by rank; undefined while one is not known. */
     members: () => EngineAddress[] | undefined;
-    /** Asks one engine directly, for ranks whose agent is silent. */
     clock: Clock;
+    /** Time of day in seconds: a first guess above the versions of an earlier life of this agent. */
+    timeOfDaySeconds: () => number;
     log: IngressLog;
     metrics: Metrics;
     signal: AbortSignal;
@@ -48,21 +49,39 @@
 /** A plan must promise this much less skew to be worth the copies and orders. */
 const leastSkewGain = 0.06;
 const prepareMilliseconds = 9_000;
+/** More than a coordinator uses in a second: it takes every eighth version, at most once a second. */
+const versionsPerSecond = 8;
+/** November 2023; counting from here keeps versions below 2^31 until 2032. */
+const firstVersionSeconds = 1_700_000_000;
+/** Refusals in a row after which the jump to a higher version no longer doubles. */
+const largestJump = 16;
 /** One expert of 1,700 MB over a link of 92 Gbit/s. */
 const copyMilliseconds = 148;
 
 export const createMapCoordinator = (options: MapCoordinatorOptions): MapCoordinator => {
-    const { ownRank, ranks, shape, engines, members, clock, log, metrics, signal } = options;
+    const { ownRank, ranks, shape, engines, members, clock, timeOfDaySeconds, log, metrics, signal } = options;
     const samples: LoadSamples = createLoadSamples(ranks);
     let epoch = -1;
+    /** Engines refuse versions below any that they had, also in earlier epochs, which no report shows. */
     let highestVersion = 0;
+    let refusals = 0;
     /** The map in force, with its version; undefined while it must be read from the engines. */
     let present: { version: number; map: PlacedExperts; } | undefined;
     let lastPlan: Record<string, unknown> = {};
+    /** Engines as their agents name them, by rank; newer than the list after a restart. */
+    const engineOfRank = new Map<number, EngineAddress>();
+
+    const engineAddresses = (): EngineAddress[] | undefined => {
+        const told = Array.from({ length: ranks }, (_, rank) => engineOfRank.get(rank));
+        const listed = members();
+        const known = told.flatMap((engine, rank) => engine ?? listed?.[rank] ?? []);
+        return known.length === ranks ? known : undefined;
+    };
 
     const enterEpoch = (report: RankReport): void => {
         epoch = report.epoch;
         present = undefined;
+        engineOfRank.clear();
         samples.clear();
         log.belief("group formed", { group: report.group, epoch, isOpen: report.isOpen });
     };
@@ -84,7 +103,7 @@
     };
 
     const nextVersion = (): number => {
-        highestVersion = nextOwn(highestVersion);
+        highestVersion = nextOwn(Math.max(highestVersion, (timeOfDaySeconds() - firstVersionSeconds) * versionsPerSecond));
         return highestVersion;
     };
 
@@ -155,6 +174,8 @@
         if (outcome === "done") {
             present = { version, map: plan.map };
         }
+        refusals = outcome === "refused" ? refusals + 1 : 0;
+        highestVersion += outcome === "refused" ? ranks * 2 ** Math.min(refusals, largestJump) : 0;
         metrics.count(`experts_switches_total{outcome="${outcome}"}`);
         lastPlan = {
             group,
@@ -171,15 +192,16 @@
     };
 
     return {
-        take: ({ report, step, counts }) => {
+        take: ({ report, engine, step, counts }) => {
             see(report);
             if (report.epoch === epoch) {
+                engineOfRank.set(report.rank, engine);
                 samples.take({ rank: report.rank, step, counts });
             }
         },
         run: async isActive => {
             while (!signal.aborted) {
-                const engineOf = members();
+                const engineOf = engineAddresses();
                 if (isActive() && engineOf !== undefined) {
                     await round(engineOf);
                 }
--- a/src/coordination/experts/rankEngine.ts
+++ b/src/coordination/experts/rankEngine.ts
@@ -38,7 +38,8 @@
     | { kind: "hold"; step: number; }
     | { kind: "release"; step: number; };
 
-export type EngineAddress = { address: string; upstreamId: string | undefined; };
+/** `ip:port` of an engine; orders name the epoch, which an engine that came later to the address refuses. */
+export type EngineAddress = string;
 
 export type RankEngines = {
     report: (engine: EngineAddress, signal: AbortSignal) => Promise<Result<RankReport, string>>;
--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -57,7 +57,15 @@
         if (known === undefined || known.isDraining !== upstream.isDraining || known.bornAt !== upstream.bornAt) {
             const { id, service, address, availabilityZone, isDraining, coldMilliseconds } = upstream;
             const group = upstream.group?.name;
-            log.belief("upstream listed", { id, service, address, availabilityZone, group, isDraining, coldMilliseconds });
+            log.belief("upstream listed", {
+                id,
+                service,
+                address,
+                upstreamZone: availabilityZone,
+                group,
+                isDraining,
+                coldMilliseconds,
+            });
         }
     };
 
@@ -84,7 +92,7 @@
             else {
                 evacuated.delete(availabilityZone);
             }
-            log.belief(isOut ? "zone evacuated" : "zone returned", { availabilityZone });
+            log.belief(isOut ? "zone evacuated" : "zone returned", { zone: availabilityZone });
         }
     };
 
--- a/src/coordination/ingress/peerLoad.ts
+++ b/src/coordination/ingress/peerLoad.ts
@@ -10,6 +10,7 @@
 /** What one entry says of itself. */
 export type EntryNews = {
     host: string;
+    availabilityZone: string;
     /** Changes with each start of the entry. */
     incarnation: string;
     /** Grows with each message of one incarnation. */
@@ -33,6 +34,8 @@
     limitOf: (group: string) => number | undefined;
     /** Entries that are heard, this one included. */
     entries: () => number;
+    /** Whether entries of other availability zones were heard before and all are silent now. */
+    isZoneAlone: (availabilityZone: string) => boolean;
     /** Addresses of entries that are heard and in contact with the store, the last contact first. */
     inContact: () => { address: string; configuration: number | undefined; }[];
 };
@@ -40,6 +43,8 @@
 /** Several messages may be lost or late before an entry counts as silent. */
 const silentMilliseconds = 1_500;
 const contactMilliseconds = 1_200;
+/** Seven messages in a row of all entries of the other zones. */
+const aloneMilliseconds = 750;
 
 type Heard = { news: EntryNews; address: string; at: number; };
 
@@ -47,6 +52,7 @@
     const heard = new Map<string, Heard>();
     let totals = new Map<string, number>();
     let totalsAt = -Infinity;
+    let otherZonesHeardAt: number | undefined;
     /** Sums are made anew this often at most, as every admitted request reads them. */
     const totalsAge = 10;
 
@@ -84,6 +90,14 @@
             }
             heard.set(news.host, { news, address, at: clock.now() });
         },
+        isZoneAlone: availabilityZone => {
+            const others = [...heard.values()].filter(({ news }) => news.availabilityZone !== availabilityZone);
+            otherZonesHeardAt = others.reduce<number | undefined>(
+                (latest, { at }) => Math.max(latest ?? at, at),
+                otherZonesHeardAt,
+            );
+            return otherZonesHeardAt !== undefined && clock.now() - otherZonesHeardAt > aloneMilliseconds;
+        },
         runningOn: id => sum().get(id) ?? 0,
         limitOf: group => {
             const limits = fresh().flatMap(({ news }) => news.limits[group] ?? []);
--- a/src/coordination/ingress/plainTask.ts
+++ b/src/coordination/ingress/plainTask.ts
@@ -7,7 +7,7 @@
 import type { KnownUpstream } from "./deploymentState.js";
 import type { PlainPlaces } from "./plainPlaces.js";
 import { fail, noSendings, type RequestContext, type Sendings, type SharedParts } from "./requestContext.js";
-import type { SendingTimes, UpstreamAnswer } from "./upstreamCaller.js";
+import { findFault, isCertainLoss, type LostSending, type SendingTimes, type UpstreamAnswer } from "./upstreamCaller.js";
 
 /** A repeatable request is taken elsewhere when an upstream is silent for this many objectives. */
 const objectivesUntilElsewhere = 1.5;
@@ -18,7 +18,7 @@
 
 type Verdict =
     | { kind: "final"; answer: UpstreamAnswer; body: Buffer[]; }
-    | { kind: "unreachable" | "not-run" | "broken"; reason: string; }
+    | LostSending
     /** The upstream ran the request and answered with an error of its own. */
     | { kind: "failed"; answer: UpstreamAnswer; body: Buffer[]; };
 
@@ -31,24 +31,16 @@
 };
 
 const judge = async (answer: UpstreamAnswer, requestId: string): Promise<Verdict> => {
-    const { marks, status } = answer;
-    if (marks.requestId !== undefined && marks.requestId !== requestId) {
+    const fault = findFault(answer, requestId);
+    if (fault !== undefined) {
         answer.close();
-        return { kind: "broken", reason: "the answer belongs to another request" };
-    }
-    if (marks.isNotRun) {
-        answer.close();
-        return { kind: "not-run", reason: `status ${status}` };
-    }
-    if (!marks.isSealed) {
-        answer.close();
-        return { kind: "broken", reason: `status ${status} without a seal` };
+        return fault;
     }
     const body = await readWhole(answer);
     if (body === undefined) {
         return { kind: "broken", reason: "the answer was cut" };
     }
-    return { kind: status >= serverErrorStatus ? "failed" : "final", answer, body };
+    return { kind: answer.status >= serverErrorStatus ? "failed" : "final", answer, body };
 };
 
 export const createPlainTask = (places: PlainPlaces, shared: SharedParts) => {
@@ -74,18 +66,20 @@
         log.request(envelope.requestId, "answered", { status: answer.status, afterMilliseconds: Math.round(took) });
     };
 
-    const mayRepeat = ({ route }: RequestContext, { reached }: Sendings): boolean =>
-        reached.size < route.attempts && (reached.size === 0 || retryBudget.takeRetry());
+    /** A sending counts against the budget once bytes of the one before may have arrived somewhere. */
+    const mayRepeat = ({ route }: RequestContext, { reached }: Sendings, last: LostSending["kind"] | undefined): boolean =>
+        reached.size < route.attempts && (last === undefined || last === "unreachable" || retryBudget.takeRetry());
 
     return async (context: RequestContext): Promise<void> => {
         const { route, service, envelope, signal } = context;
         const sendings = noSendings();
         let lastFailure: Extract<Verdict, { kind: "failed"; }> | undefined;
         let lastReason = "no upstream takes work";
+        let lastKind: LostSending["kind"] | undefined;
         retryBudget.recordRequest();
         while (!signal.aborted) {
             const place = places.take(service, sendings.avoided);
-            if (place === undefined || !mayRepeat(context, sendings)) {
+            if (place === undefined || !mayRepeat(context, sendings, lastKind)) {
                 place?.release();
                 break;
             }
@@ -95,7 +89,8 @@
             release();
             const took = clock.now() - sentAt;
             sendings.avoided.add(upstream.id);
-            if (verdict.kind !== "unreachable") {
+            const isNotThere = verdict.kind !== "final" && verdict.kind !== "failed" && isCertainLoss(verdict);
+            if (!isNotThere) {
                 sendings.reached.add(upstream.id);
             }
             if (verdict.kind === "final") {
@@ -105,7 +100,7 @@
             }
             const reason = verdict.kind === "failed" ? `status ${verdict.answer.status}` : verdict.reason;
             if (!signal.aborted) {
-                health.recordFailure(upstream.id, verdict.kind === "unreachable", reason);
+                health.recordFailure(upstream.id, isNotThere, reason);
                 metrics.count(`ingress_sendings_lost_total{kind="${verdict.kind}"}`);
                 log.request(envelope.requestId, "sending lost", {
                     upstream: upstream.id,
@@ -115,6 +110,7 @@
                 });
             }
             lastReason = reason;
+            lastKind = verdict.kind === "failed" ? "broken" : verdict.kind;
             lastFailure = verdict.kind === "failed" ? verdict : lastFailure;
             sendings.mayHaveRun ||= verdict.kind === "broken" || verdict.kind === "failed";
             if (sendings.mayHaveRun && route.kind !== "idempotent") {
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -52,8 +52,8 @@
     return {
         enter: async context => {
             const { service, route, envelope, arrivedAt, answerBy, clientAccount, priority, signal } = context;
-            if (!places.hasUpstream(service)) {
-                const inputs = { reason: "no upstream takes work" };
+            if (!places.hasUpstream(service, nothingAvoided)) {
+                const inputs = { reason: "no group that runs", groups: places.groups() };
                 return err({ kind: "no-upstream", retryAfterMilliseconds: returnMilliseconds(), inputs });
             }
             const queue = queueOf(service);
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -9,10 +9,13 @@
 import { fail, noSendings, type RequestContext, type Sendings, type SharedParts } from "./requestContext.js";
 import type { StreamAdmission } from "./streamAdmission.js";
 import type { Place, StreamPlaces } from "./streamPlaces.js";
-import type { SendingTimes, UpstreamAnswer } from "./upstreamCaller.js";
+import { findFault, isCertainLoss, type LostSending, type SendingTimes, type UpstreamAnswer } from "./upstreamCaller.js";
 
 /** Callers leave after two seconds without an event; these leave time to go on elsewhere before that. */
-const streamTimes: SendingTimes = { headMilliseconds: 1_100, silenceMilliseconds: 1_100 };
+const streamTimes: SendingTimes = { headMilliseconds: 1_000, silenceMilliseconds: 800 };
+/** Until when a stream that was cut is worth taking up again, after the caller's last event. */
+const takeUpMilliseconds = 1_850;
+const placeRetryMilliseconds = 40;
 const okStatus = 200;
 const serverErrorStatus = 500;
 
@@ -20,7 +23,7 @@
     | { kind: "whole"; }
     /** The upstream's own answer that is no stream, to be passed on as it is. */
     | { kind: "other"; answer: UpstreamAnswer; }
-    | { kind: "unreachable" | "not-run" | "broken"; reason: string; };
+    | LostSending;
 
 /** How far the caller's stream has come, over all sendings. */
 type Progress = { lastEventId: string | undefined; events: number; lastEventAt: number | undefined; };
@@ -52,9 +55,12 @@
                     metrics.observe("ingress_first_event", now - arrivedAt);
                 }
                 sink.write(event.bytes);
-                if (eventsOfSending > 0 && progress.lastEventAt !== undefined) {
-                    place.recordPause(now - progress.lastEventAt, route.gapTargetMilliseconds);
-                    metrics.observe("ingress_event_pause", now - progress.lastEventAt);
+                const pause = eventsOfSending > 0 && progress.lastEventAt !== undefined
+                    ? now - progress.lastEventAt
+                    : undefined;
+                place.recordEvent(pause, route.gapTargetMilliseconds);
+                if (pause !== undefined) {
+                    metrics.observe("ingress_event_pause", pause);
                 }
                 eventsOfSending += 1;
                 progress.events += 1;
@@ -87,20 +93,12 @@
             return sent.error;
         }
         const answer = sent.value;
-        const { marks, status } = answer;
-        if (marks.requestId !== undefined && marks.requestId !== envelope.requestId) {
+        const fault = findFault(answer, envelope.requestId);
+        if (fault !== undefined) {
             answer.close();
-            return { kind: "broken", reason: "the answer belongs to another request" };
+            return fault;
         }
-        if (marks.isNotRun) {
-            answer.close();
-            return { kind: "not-run", reason: `status ${status}` };
-        }
-        if (!marks.isSealed) {
-            answer.close();
-            return { kind: "broken", reason: `status ${status} without a seal` };
-        }
-        return status === okStatus ? relay(context, answer, place, progress) : { kind: "other", answer };
+        return answer.status === okStatus ? relay(context, answer, place, progress) : { kind: "other", answer };
     };
 
     /** Passes on an upstream's failure as it is; gives what became of it. */
@@ -131,7 +129,10 @@
             health.recordAnswer(id, clock.now() - sentAt);
         }
         else if (!context.signal.aborted && ending.kind !== "other") {
-            health.recordFailure(id, ending.kind === "unreachable", ending.reason);
+            health.recordFailure(id, isCertainLoss(ending), ending.reason);
+            if (ending.kind !== "misdirected") {
+                place.recordLoss(ending.reason);
+            }
             metrics.count(`ingress_sendings_lost_total{kind="${ending.kind}"}`);
             log.request(context.envelope.requestId, "sending lost", {
                 upstream: id,
@@ -142,6 +143,20 @@
         }
     };
 
+    /** Waits for a place to go on, as long as the caller waits for its next event. */
+    const takeUp = async (context: RequestContext, sendings: Sendings, progress: Progress): Promise<Place | undefined> => {
+        const until = (progress.lastEventAt ?? context.arrivedAt) + takeUpMilliseconds;
+        for (;;) {
+            const place = places.take(context.service, sendings.avoided, true);
+            const isHopeless = clock.now() >= until || context.signal.aborted
+                || !places.hasUpstream(context.service, sendings.avoided);
+            if (place !== undefined || isHopeless) {
+                return place;
+            }
+            await clock.sleep(placeRetryMilliseconds, context.signal);
+        }
+    };
+
     const finish = (context: RequestContext, progress: Progress, sendings: Sendings): void => {
         const took = clock.now() - context.arrivedAt;
         context.sink.end();
@@ -188,16 +203,17 @@
             place.release();
             admission.placeFreed(service);
             sendings.avoided.add(upstream.id);
-            if (ending.kind !== "unreachable") {
-                sendings.reached.add(upstream.id);
-            }
             if (ending.kind === "whole") {
+                sendings.reached.add(upstream.id);
                 finish(context, progress, sendings);
                 return;
             }
+            if (ending.kind === "other" || !isCertainLoss(ending)) {
+                sendings.reached.add(upstream.id);
+            }
             sendings.mayHaveRun ||= ending.kind === "broken";
             lastReason = ending.kind === "other" ? "" : ending.reason;
-            place = mayGoOn(context, sendings, ending) ? places.take(service, sendings.avoided, true) : undefined;
+            place = mayGoOn(context, sendings, ending) ? await takeUp(context, sendings, progress) : undefined;
         }
         if (sendings.mayHaveRun || context.sink.hasBegun() || signal.aborted) {
             fail(context, shared, "interrupted", { reason: lastReason, reached: [...sendings.reached], events: progress.events });
--- a/src/coordination/ingress/upstreamCaller.ts
+++ b/src/coordination/ingress/upstreamCaller.ts
@@ -11,6 +11,16 @@
 /** `unreachable`: nothing was sent; `broken`: the request may have run, and no usable answer came. */
 export type SendingFailure = { kind: "unreachable" | "broken"; reason: string; };
 
+/** How a sending without a usable answer ended, beyond `SendingFailure`. */
+export type LostSending = {
+    /**
+     * `unreachable`: nothing was sent; `misdirected`: the address belongs to another upstream now; `not-run`: the upstream
+     * says that it has not run the request; `broken`: it may have run.
+     */
+    kind: "unreachable" | "misdirected" | "not-run" | "broken";
+    reason: string;
+};
+
 export type UpstreamAnswer = {
     status: number;
     marks: AnswerMarks;
@@ -31,6 +41,22 @@
     silenceMilliseconds: number;
 };
 
+const misdirectedStatus = 421;
+
+/** Why an answer can't be used; undefined if it is the upstream's own and may be read on. */
+export const findFault = ({ marks, status }: UpstreamAnswer, requestId: string): LostSending | undefined => {
+    if (marks.requestId !== undefined && marks.requestId !== requestId) {
+        return { kind: "broken", reason: "the answer belongs to another request" };
+    }
+    if (marks.isNotRun) {
+        return { kind: status === misdirectedStatus ? "misdirected" : "not-run", reason: `status ${status}` };
+    }
+    return marks.isSealed ? undefined : { kind: "broken", reason: `status ${status} without a seal` };
+};
+
+/** Whether the loss shows that the upstream itself is not there. */
+export const isCertainLoss = ({ kind }: LostSending): boolean => kind === "unreachable" || kind === "misdirected";
+
 /** Sends the caller's request to `upstream`. */
 export type SendToUpstream = (
     upstream: Upstream,
--- a/src/programs/ingress.ts
+++ b/src/programs/ingress.ts
@@ -5,6 +5,7 @@
 import { defineCommand, runMain } from "citty";
 import { platformHeads } from "../../platform/requestHeaders.js";
 import { paths, settingsVariable } from "../../platform/names.js";
+import { platformEngines } from "../../platform/engineClient.js";
 import { createMemberList } from "../../platform/memberRecords.js";
 import { createStoreClient } from "../../platform/storeClient.js";
 import { createDeploymentFeed } from "../../platform/storeRecords.js";
@@ -29,6 +30,7 @@
             heads: platformHeads,
             feed: createDeploymentFeed(store),
             members: createMemberList(store),
+            engines: platformEngines,
             readinessPath: paths.readiness,
         };
         logger.info("starting", { callers: config.callers, store: config.store.address });
--- a/src/protocol/entryNews.ts
+++ b/src/protocol/entryNews.ts
@@ -8,6 +8,7 @@
 
 export const entryNewsSchema: z.ZodType<EntryNews> = z.object({
     host: z.string(),
+    availabilityZone: z.string(),
     incarnation: z.string(),
     sequence: z.number(),
     running: z.record(z.string(), z.number()),
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -20,6 +20,7 @@
 /** Counts are read this often: three to four passes of a busy group. */
 const readMilliseconds = 300;
 const beaconMilliseconds = 400;
+const millisecondsPerSecond = 1_000;
 /** Without a beacon of a lower rank for this long, the next rank coordinates; each higher rank waits a little longer. */
 const silenceMilliseconds = 1_300;
 const silencePerRankMilliseconds = 400;
@@ -37,7 +38,7 @@
     const clock = steadyClock;
     const log = createIngressLog((event, fields) => logger.info(event, fields), clock);
     const metrics = createMetrics();
-    const own = { address: config.engine, upstreamId: undefined };
+    const own = config.engine;
     const [gossipPort] = config.internalPorts;
     const startedAt = clock.now();
     const lowerRanks = new Map<number, { at: number; address: string; }>();
@@ -106,8 +107,8 @@
         }
     };
 
-    const members = (): { address: string; upstreamId: string; }[] | undefined => {
-        const known = ranks.flatMap(upstream => upstream === undefined ? [] : { address: upstream.address, upstreamId: upstream.id });
+    const members = (): string[] | undefined => {
+        const known = ranks.flatMap(upstream => upstream?.address ?? []);
         return known.length > 0 && known.length === ranks.length ? known : undefined;
     };
 
@@ -121,6 +122,7 @@
                 engines: adapter.engines,
                 members,
                 clock,
+                timeOfDaySeconds: () => Math.floor(Date.now() / millisecondsPerSecond),
                 log,
                 metrics,
                 signal,
@@ -137,7 +139,7 @@
                 openCoordinator(report);
                 const counts = await adapter.engines.counts(own, signal);
                 if (counts.isOk() && counts.value.epoch === report.epoch) {
-                    const news = { report, step: counts.value.step, counts: counts.value.counts };
+                    const news = { report, engine: own, step: counts.value.step, counts: counts.value.counts };
                     const target = leader();
                     if (target === undefined) {
                         coordinator?.take(news);
--- a/src/transport/experts/rankGossip.ts
+++ b/src/transport/experts/rankGossip.ts
@@ -14,6 +14,7 @@
 const beaconSchema = z.object({ kind: z.literal("beacon"), group: z.string(), rank: z.number() });
 const newsSchema = z.object({
     kind: z.literal("news"),
+    engine: z.string(),
     step: z.number(),
     counts: z.array(z.number()),
     report: z.object({
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -95,19 +95,21 @@
     address: string;
     heads: RequestHeads;
     limits: () => CallerLimits | undefined;
+    /** Whether callers had better connect anew, to be led to another entry. */
+    shouldLeave: () => boolean;
     handle: (request: CallerRequest) => Promise<void>;
     onError: (error: Error) => void;
 };
 
 /** Starts to listen; resolves once connections are taken. */
 export const startCallerServer = async (options: CallerServerOptions): Promise<CallerServer> => {
-    const { address, heads, limits, handle, onError } = options;
+    const { address, heads, limits, shouldLeave, handle, onError } = options;
     let isDraining = false;
     let inProgress = 0;
 
     const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
         const arrivedAt = performance.now();
-        if (isDraining) {
+        if (isDraining || shouldLeave()) {
             response.shouldKeepAlive = false;
         }
         response.on("error", onError);
--- a/src/transport/ingress/entryGossip.ts
+++ b/src/transport/ingress/entryGossip.ts
@@ -21,18 +21,19 @@
 
 export type EntryGossipOptions = {
     host: string;
+    availabilityZone: string;
     ip: string;
     port: number;
     members: MemberList;
     peers: PeerLoad;
-    news: () => Omit<EntryNews, "host" | "sequence">;
+    news: () => Omit<EntryNews, "host" | "availabilityZone" | "sequence">;
     clock: Clock;
     log: IngressLog;
     signal: AbortSignal;
 };
 
 export const startEntryGossip = (options: EntryGossipOptions): void => {
-    const { host, ip, port, members, peers, news, clock, log, signal } = options;
+    const { host, availabilityZone, ip, port, members, peers, news, clock, log, signal } = options;
     const socket = createSocket("udp4");
     const addresses = new Map<string, string>();
     let sequence = 0;
@@ -52,7 +53,7 @@
 
     const tellAll = (): void => {
         sequence += 1;
-        const message = encodeEntryNews({ host, sequence, ...news() });
+        const message = encodeEntryNews({ host, availabilityZone, sequence, ...news() });
         for (const address of addresses.values()) {
             const [peerIp, peerPort] = address.split(":");
             // A message that can't be sent is like one that is lost.
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -3,6 +3,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
+import type { RankEngines } from "../../coordination/experts/rankEngine.js";
 import { createMetrics } from "../../coordination/metrics.js";
 import { createRetryBudget } from "../../coordination/retryBudget.js";
 import { type DeploymentFeed, followDeployment } from "../../coordination/ingress/deploymentFeed.js";
@@ -35,6 +36,7 @@
     feed: DeploymentFeed;
     /** The entries of this deployment. */
     members: MemberList;
+    engines: Pick<RankEngines, "report">;
     readinessPath: string;
 };
 
@@ -53,9 +55,9 @@
 const graceReserveMilliseconds = 300;
 const drainCheckMilliseconds = 50;
 /** Retries that an entry may save up, in windows of its share. */
-const retryReserveShare = 0.5;
+const retryReserveShare = 0.7;
 /** Part of the allowed ratio that this entry uses; the rest covers requests that upstreams reject by themselves. */
-const retryRatioShare = 0.75;
+const retryRatioShare = 0.85;
 const fewestEntries = 8;
 
 export const startIngress = async (
@@ -79,12 +81,23 @@
         largestBalance: retriesPerWindow,
     });
     const shared: SharedParts = { clock, log, metrics, health, retryBudget, random: Math.random };
-    const streamPlaces = createStreamPlaces({ state, health, clock, peers, random: Math.random });
+    const streamPlaces = createStreamPlaces({
+        state,
+        health,
+        clock,
+        peers,
+        askEngine: async ({ address }, askSignal) =>
+            (await platform.engines.report(address, askSignal)).unwrapOr(undefined),
+        log,
+        random: Math.random,
+        signal,
+    });
     const plainPlaces = createPlainPlaces(state, health, config.availabilityZone, peers.runningOn);
     const runStream = createStreamTask(streamPlaces, createStreamAdmission(streamPlaces, shared), shared);
     const runPlain = createPlainTask(plainPlaces, shared);
     const incarnation = randomUUID();
     let isStopping = false;
+    let wasReady = false;
 
     const runningByUpstream = (): Record<string, number> =>
         Object.fromEntries([...streamPlaces.running(), ...plainPlaces.running()].filter(([, count]) => count > 0));
@@ -97,6 +110,7 @@
     };
     startEntryGossip({
         host: config.host,
+        availabilityZone: config.availabilityZone,
         ip: config.ip,
         port: config.internalPorts[0],
         members: platform.members,
@@ -159,14 +173,26 @@
         }
     };
 
+    /** Cut off from the other zones and from every group: callers are better served by the other zones' entries. */
+    const isIsolated = (): boolean => peers.isZoneAlone(config.availabilityZone) && !streamPlaces.anyGroupRuns();
+
     const callers = await startCallerServer({
         address: config.callers,
         heads: platform.heads,
         limits: () => state.routeTable()?.configuration.limits,
+        shouldLeave: isIsolated,
         handle,
         onError: error => logger.debug("connection failed", { reason: error.message }),
     });
-    const isReady = (): boolean => !isStopping && state.routeTable() !== undefined;
+    const isReady = (): boolean => {
+        const isNow = !isStopping && state.routeTable() !== undefined && !isIsolated();
+        if (isNow !== wasReady) {
+            wasReady = isNow;
+            const inputs = { isStopping, configuration: state.routeTable()?.configuration.version, entries: peers.entries() };
+            log.belief(isNow ? "ready" : "not ready", inputs);
+        }
+        return isNow;
+    };
     const readiness = await startReadinessServer(config.readiness, platform.readinessPath, isReady);
     const dump = (): Record<string, unknown> => ({
         host: config.host,
