Test the ingress on stand-ins of the platform's store and servers, and its decisions under load

They found that a watch took a group for stalled again at once while an old stream was silent; mended.

--- a/src/coordination/ingress/groupWatch.ts
+++ b/src/coordination/ingress/groupWatch.ts
@@ -49,6 +49,8 @@
         if (stalledSince !== undefined) {
             log.belief("group runs again", { group, reason, stalledFor: Math.round(clock.now() - stalledSince) });
             stalledSince = undefined;
+            // Streams that are still silent get a whole window before they count against the group again.
+            lastEventAt = clock.now();
         }
     };
 
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -5,7 +5,7 @@
  * of the request are still under way, and its body can be sent a second time.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { AnswerSink } from "../../coordination/ingress/requestContext.js";
 import type { RequestHeads } from "../../coordination/ingress/requestHeads.js";
 import { errorBody } from "../../protocol/callerRequests.js";
@@ -24,6 +24,8 @@
 };
 
 export type CallerServer = {
+    /** The bound `ip:port`. */
+    address: string;
     /** From now on every answer ends its connection. */
     startDraining: () => void;
     /** Takes no new connection and closes those without a request. */
@@ -149,7 +151,9 @@
         server.once("error", reject);
         server.listen({ host: ip, port: Number(port), backlog }, resolve);
     });
+    const bound = server.address() as AddressInfo;
     return {
+        address: `${bound.address}:${bound.port}`,
         startDraining: () => {
             isDraining = true;
         },
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -41,6 +41,8 @@
 };
 
 export type IngressDaemon = {
+    /** Where it listens, as `ip:port`. */
+    addresses: { callers: string; readiness: string; metrics: string; };
     /** Serves what it has and lets callers go elsewhere; resolves when nothing is left or the grace is over. */
     stop: () => Promise<void>;
 };
@@ -213,6 +215,7 @@
     const metricsServer = await startMetricsServer(`${config.ip}:${config.internalPorts[0]}`, metrics.text, dump);
 
     return {
+        addresses: { callers: callers.address, readiness: readiness.address, metrics: metricsServer.address },
         stop: async () => {
             isStopping = true;
             callers.startDraining();
--- /dev/null
+++ b/tests/ingress/deploymentState.test.ts
@@ -0,0 +1,79 @@
+import { expect } from "chai";
+import { createDeploymentState } from "../../src/coordination/ingress/deploymentState.js";
+import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
+import type { IngressConfiguration, Upstream } from "../../src/state/ingressTypes.js";
+import { virtualClock } from "../support/virtualClock.js";
+
+const upstream = (id: string, fields: Partial<Upstream> = {}): Upstream => ({
+    id,
+    service: "catalogue",
+    address: "10.0.0.1:80",
+    availabilityZone: "medina",
+    slots: 8,
+    isDraining: false,
+    coldMilliseconds: 0,
+    bornAt: 1,
+    group: undefined,
+    ...fields,
+});
+
+const configuration = (version: number): IngressConfiguration => ({
+    version,
+    routes: [],
+    services: [],
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+    accounts: [],
+});
+
+const open = () => {
+    const clock = virtualClock();
+    const state = createDeploymentState(clock, createIngressLog(() => undefined, clock));
+    const usable = (): string[] => state.usable("catalogue").map(({ id }) => id);
+    state.replace("upstreams", ["a", "b"].map(id => ({ kind: "upstream", upstream: upstream(id) })));
+    return { clock, state, usable };
+};
+
+describe("what an entry believes about its deployment", () => {
+    it("never goes back to an older configuration, whoever tells it", () => {
+        const { state } = open();
+        expect(state.offerConfiguration(configuration(7), "store")).to.equal(true);
+        expect(state.offerConfiguration(configuration(6), "a peer")).to.equal(false);
+        expect(state.routeTable()?.configuration.version).to.equal(7);
+    });
+
+    it("drops a server whose entry is removed while the store is well", () => {
+        const { state, usable } = open();
+        state.apply([{ kind: "upstream-gone", id: "a" }]);
+        expect(usable()).to.deep.equal(["b"]);
+    });
+
+    it("keeps servers whose entries lapsed while the store was away, for two seconds after its return", () => {
+        const { clock, state, usable } = open();
+        state.storeLost();
+        clock.advance(9_000);
+        state.storeRegained();
+        state.replace("upstreams", []);
+        expect(usable()).to.deep.equal(["a", "b"]);
+        clock.advance(1_500);
+        state.apply([{ kind: "upstream", upstream: upstream("b") }]);
+        clock.advance(600);
+        expect(usable()).to.deep.equal(["b"]);
+    });
+
+    it("gives no grace to a server that said it was draining", () => {
+        const { state, usable } = open();
+        state.apply([{ kind: "upstream", upstream: upstream("a", { isDraining: true }) }]);
+        state.storeLost();
+        state.storeRegained();
+        state.apply([{ kind: "upstream-gone", id: "a" }]);
+        expect(usable()).to.deep.equal(["b"]);
+    });
+
+    it("takes back a zone that a new reading no longer names", () => {
+        const { state, usable } = open();
+        state.apply([{ kind: "zone-evacuated", availabilityZone: "medina" }]);
+        expect(usable()).to.deep.equal([]);
+        state.replace("operator", []);
+        expect(usable()).to.deep.equal(["a", "b"]);
+    });
+});
--- /dev/null
+++ b/tests/support/platformDeployment.ts
@@ -0,0 +1,194 @@
+/**
+ * An entry on the stand-ins of the users' platform, with a caller that speaks its protocol.
+ */
+import { request as startRequest } from "node:http";
+import { platformEngines } from "../../platform/engineClient.js";
+import { createMemberList } from "../../platform/memberRecords.js";
+import { headerNames, paths, topics } from "../../platform/names.js";
+import { platformHeads } from "../../platform/requestHeaders.js";
+import { createStoreClient } from "../../platform/storeClient.js";
+import { createDeploymentFeed } from "../../platform/storeRecords.js";
+import { type KeyedStore, startKeyedStore } from "../../src/standin/keyedStore.js";
+import type { SealedServer } from "../../src/standin/sealedServer.js";
+import { type IngressDaemon, startIngress } from "../../src/transport/ingress/ingressDaemon.js";
+import type { Logger } from "../../src/transport/logger.js";
+
+export type CallerAnswer = {
+    status: number;
+    headers: Record<string, string | string[] | undefined>;
+    body: string;
+    /** Whether the answer came whole by its framing. */
+    isWhole: boolean;
+};
+
+export type LogLine = { event: string; } & Record<string, unknown>;
+
+export type PlatformDeployment = {
+    store: KeyedStore;
+    entry: IngressDaemon;
+    lines: LogLine[];
+    /** Enters a server in the list. */
+    list: (server: SealedServer, service: string, fields?: object) => void;
+    configure: (version: number, changes?: object) => void;
+    call: (path: string, options?: CallOptions) => Promise<CallerAnswer>;
+    /** Resolves once `condition` holds. */
+    until: (condition: () => boolean | Promise<boolean>) => Promise<void>;
+    stop: () => Promise<void>;
+};
+
+export type CallOptions = {
+    method?: string;
+    body?: string;
+    key?: string;
+    tokens?: string;
+    patience?: number;
+    requestId?: string;
+    headers?: Record<string, string>;
+    /** Leaves after this many bytes of the answer. */
+    leaveAfter?: number;
+};
+
+const host = "portal.example";
+export const goodKey = "key-of-the-council";
+
+const route = (pathPrefix: string, kind: string, service: string, fields: object = {}): object => ({
+    name: `route${pathPrefix}`,
+    host,
+    pathPrefix,
+    kind,
+    service,
+    timeoutMs: 2_000,
+    goalMs: 400,
+    priority: 1,
+    attempts: 2,
+    public: false,
+    ...fields,
+});
+
+export const standardConfiguration = (version: number, changes: object = {}): object => ({
+    version,
+    routes: [
+        route("/read/", "idempotent", "catalogue"),
+        route("/book/", "non_idempotent", "catalogue"),
+        route("/book/special/", "non_idempotent", "other"),
+        route("/talk/", "streaming", "model", { resumable: true, gapTargetMs: 120 }),
+    ],
+    services: [{ name: "catalogue", coldPerS: 0 }, { name: "model", coldPerS: 26 }, { name: "other" }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    tenants: [{ name: "council", apiKeys: [goodKey], priority: 1 }],
+    ...changes,
+});
+
+const pollMilliseconds = 10;
+
+let callsMade = 0;
+
+const call = (address: string, path: string, options: CallOptions): Promise<CallerAnswer> =>
+    new Promise((resolve, reject) => {
+        callsMade += 1;
+        const [ip, port] = address.split(":");
+        const { method = "GET", body, key = goodKey, tokens, patience = 2_000, headers = {}, leaveAfter } = options;
+        const requestId = options.requestId ?? `request-${callsMade}`;
+        const outgoing = startRequest({
+            host: ip,
+            port: Number(port),
+            path,
+            method,
+            agent: false,
+            headers: {
+                host,
+                [headerNames.requestId]: requestId,
+                [headerNames.patience]: String(patience),
+                [headerNames.authorization]: `Bearer ${key}`,
+                ...(tokens === undefined ? {} : { [headerNames.tokens]: tokens }),
+                ...headers,
+            },
+        });
+        outgoing.once("error", reject);
+        outgoing.once("response", response => {
+            let text = "";
+            response.on("data", (chunk: Buffer) => {
+                text += chunk.toString("utf8");
+                if (leaveAfter !== undefined && text.length >= leaveAfter) {
+                    outgoing.destroy();
+                }
+            });
+            // A cut answer ends with an error that its missing end shows as well.
+            response.on("error", () => undefined);
+            response.once("close", () =>
+                resolve({
+                    status: response.statusCode ?? 0,
+                    headers: response.headers,
+                    body: text,
+                    isWhole: response.complete,
+                }));
+        });
+        outgoing.end(body);
+    });
+
+export const startPlatformDeployment = async (isConfigured = true): Promise<PlatformDeployment> => {
+    const store = await startKeyedStore();
+    const lifetime = new AbortController();
+    const lines: LogLine[] = [];
+    const write = (event: string, fields: Record<string, unknown> = {}): void => void lines.push({ event, ...fields });
+    const logger: Logger = { info: write, warn: write, error: write, debug: () => undefined };
+    const client = createStoreClient(store.address, lifetime.signal);
+    if (isConfigured) {
+        store.put(topics.operator, "config", standardConfiguration(1));
+    }
+    const entry = await startIngress(
+        {
+            host: "entry-1",
+            availabilityZone: "medina",
+            ip: "127.0.0.1",
+            internalPorts: [0, 0],
+            store: { address: store.address },
+            logLevel: "info",
+            callers: "127.0.0.1:0",
+            readiness: "127.0.0.1:0",
+            graceSeconds: 3,
+            retryRatio: 0.2,
+            retrySlack: 400,
+            retryWindowSeconds: 10,
+        },
+        {
+            heads: platformHeads,
+            feed: createDeploymentFeed(client),
+            members: createMemberList(client),
+            engines: platformEngines,
+            readinessPath: paths.readiness,
+        },
+        logger,
+        lifetime.signal,
+    );
+    const until = async (condition: () => boolean | Promise<boolean>): Promise<void> => {
+        while (!await condition()) {
+            await new Promise(resolve => setTimeout(resolve, pollMilliseconds));
+        }
+    };
+    return {
+        store,
+        entry,
+        lines,
+        list: ({ id, address }, service, fields = {}) =>
+            store.put(topics.upstreams, id, {
+                service,
+                address,
+                zone: "medina",
+                slots: 8,
+                state: "ready",
+                seq: 1,
+                coldLeftMs: 0,
+                born: 1_700_000_000_000,
+                ...fields,
+            }),
+        configure: (version, changes) => store.put(topics.operator, "config", standardConfiguration(version, changes)),
+        call: (path, options = {}) => call(entry.addresses.callers, path, options),
+        until,
+        stop: async () => {
+            lifetime.abort();
+            await entry.stop();
+            await store.close();
+        },
+    };
+};
