--- a/src/protocol/ingressConfig.ts
+++ b/src/protocol/ingressConfig.ts
@@ -11,6 +11,8 @@
     ip: z.string().min(1),
     /** First and last port for traffic between daemons. */
     internalPorts: z.tuple([z.int(), z.int()]),
+    /** Where metrics and state are served. */
+    metrics: address,
     store: z.object({ address }),
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
 };
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -169,7 +169,7 @@
         isActive: wasActive,
         coordinator: coordinator?.status(),
     });
-    await startMetricsServer(`${config.ip}:${config.internalPorts[0] + 1}`, metrics.text, dump);
+    await startMetricsServer(config.metrics, metrics.text, dump);
     void followList();
     void read();
     void sendBeacons();
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -212,7 +212,7 @@
         upstreams: state.all(),
         groups: streamPlaces.groups(),
     });
-    const metricsServer = await startMetricsServer(`${config.ip}:${config.internalPorts[0]}`, metrics.text, dump);
+    const metricsServer = await startMetricsServer(config.metrics, metrics.text, dump);
 
     return {
         addresses: { callers: callers.address, readiness: readiness.address, metrics: metricsServer.address },
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -142,6 +142,7 @@
             availabilityZone: "medina",
             ip: "127.0.0.1",
             internalPorts: [0, 0],
+            metrics: "127.0.0.1:0",
             store: { address: store.address },
             logLevel: "info",
             callers: "127.0.0.1:0",
