Copy fewer experts for small gains, call the store less often, and keep no signal for each read

Change: a replica must gain 2% and a map 0.12 of skew; upstreams are read each 750 ms and operator changes awaited for 12 s.

--- a/src/coordination/experts/mapCoordinator.ts
+++ b/src/coordination/experts/mapCoordinator.ts
@@ -45,9 +45,9 @@
 const newPerRank = 5;
 /** For the first map, which starts from one that knows nothing of the demand. */
 const newPerRankAtFirst = 14;
-const leastGain = 0.012;
+const leastGain = 0.02;
 /** A plan must promise this much less skew to be worth the copies and orders. */
-const leastSkewGain = 0.06;
+const leastSkewGain = 0.12;
 const prepareMilliseconds = 9_000;
 /** More than a coordinator uses in a second: it takes every eighth version, at most once a second. */
 const versionsPerSecond = 8;
--- a/src/coordination/ingress/deploymentFeed.ts
+++ b/src/coordination/ingress/deploymentFeed.ts
@@ -43,10 +43,10 @@
     storeRegained: () => void;
 };
 
-/** A long poll ends this often, which bounds how long a silent connection can hide an operator's change. */
-const operatorWaitMilliseconds = 3_000;
-/** Four reads fit into the shortest drain bound of the deployments, 2 s. */
-const upstreamPaceMilliseconds = 500;
+/** Each long poll is priced; a connection that went silent is found by the reads of upstreams, not by its end. */
+const operatorWaitMilliseconds = 12_000;
+/** Two reads fit into the shortest drain bound of the deployments, 2 s, also when one fails. */
+const upstreamPaceMilliseconds = 750;
 /** Soon enough to serve within a second of the store's return, slow enough to cost two calls a second. */
 const retryPaceMilliseconds = 400;
 
@@ -64,7 +64,9 @@
     const { feed, sink, clock, log, random, signal } = options;
     let lastContact: number | undefined;
     let isLost = false;
+    /** Ends the calls under way; `signal` does so too. */
     let wake = new AbortController();
+    signal.addEventListener("abort", () => wake.abort(), { once: true });
 
     const reportFailure = (topic: FeedTopic, { kind, reason }: FeedFailure): void => {
         log.belief("store read failed", { topic, failure: kind, reason, lastContactAgo: age(lastContact) });
@@ -92,7 +94,7 @@
     const follow = async (topic: FeedTopic, waitMilliseconds: number, paceMilliseconds: number): Promise<void> => {
         let offset: number | undefined;
         while (!signal.aborted) {
-            const call = AbortSignal.any([signal, wake.signal]);
+            const call = wake.signal;
             const slice = offset === undefined
                 ? await feed.readAll(topic, call)
                 : await feed.readNewer(topic, offset, waitMilliseconds, call);
