Answer 504 for what has no whole answer in time, and log no failure for callers that left

Cause: a request that ran out of time and one whose answer was cut had the same code, and a caller that left was logged as a failure. Change: the code no-answer-in-time; no failure line without a caller; the coordinator of a group is no longer named like the product's own.

--- a/src/coordination/experts/mapCoordinator.ts
+++ b/src/coordination/experts/groupCoordinator.ts
@@ -16,7 +16,7 @@
 /** What the agent of one rank tells the coordinator. */
 export type RankNews = { report: RankReport; engine: EngineAddress; step: number; counts: number[]; };
 
-export type MapCoordinatorOptions = {
+export type GroupCoordinatorOptions = {
     ownRank: number;
     ranks: number;
     shape: ExpertShape;
@@ -31,7 +31,7 @@
     signal: AbortSignal;
 };
 
-export type MapCoordinator = {
+export type GroupCoordinator = {
     take: (news: RankNews) => void;
     /** Plans and switches while `isActive`; resolves with the signal. */
     run: (isActive: () => boolean) => Promise<void>;
@@ -58,7 +58,7 @@
 /** One expert of 1,700 MB over a link of 92 Gbit/s. */
 const copyMilliseconds = 148;
 
-export const createMapCoordinator = (options: MapCoordinatorOptions): MapCoordinator => {
+export const createGroupCoordinator = (options: GroupCoordinatorOptions): GroupCoordinator => {
     const { ownRank, ranks, shape, engines, members, clock, timeOfDaySeconds, log, metrics, signal } = options;
     const samples: LoadSamples = createLoadSamples(ranks);
     let epoch = -1;
--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -37,6 +37,8 @@
     sink: AnswerSink;
     /** Aborts when the caller is gone or the answer is overdue. */
     signal: AbortSignal;
+    /** Aborts when the caller is gone. */
+    callerGone: AbortSignal;
 };
 
 export type SharedParts = {
@@ -62,14 +64,21 @@
 
 const millisecondsPerSecond = 1_000;
 
-/** Ends a request without an upstream's answer, and says why in the log. */
+/** The code for a request that may have run and has no whole answer. */
+export const lostAnswerCode = ({ signal, callerGone }: RequestContext): ErrorCode =>
+    signal.aborted && !callerGone.aborted ? "no-answer-in-time" : "interrupted";
+
+/** Ends a request without an upstream's answer, and says why in the log; a caller that has gone is owed none. */
 export const fail = (
-    { sink, envelope, route, service, arrivedAt }: RequestContext,
+    { sink, envelope, route, service, arrivedAt, callerGone }: RequestContext,
     { clock, log, metrics }: SharedParts,
     code: ErrorCode,
     inputs: Record<string, unknown>,
     retryAfterMilliseconds?: number,
 ): void => {
+    if (callerGone.aborted) {
+        return;
+    }
     const retryAfterSeconds = retryAfterMilliseconds === undefined
         ? undefined
         : Math.round(retryAfterMilliseconds) / millisecondsPerSecond;
--- a/src/state/errors.ts
+++ b/src/state/errors.ts
@@ -44,6 +44,7 @@
     "not-ready": entry(503, "not-run", host => `host "${host}" has not read its settings yet`),
     "deadline-passed": entry(504, "not-run", () => "the deadline passed before the request started"),
     "internal": entry(500, "unknown", host => `host "${host}" failed to answer the request`),
+    "no-answer-in-time": entry(504, "unknown", target => `"${target}" gave no whole answer before the deadline`),
     "interrupted": entry(502, "unknown", target => `the answer of "${target}" was cut and could not be resumed`),
     "outcome-unknown": entry(502, "unknown", key => `whether the request with Idempotency-Key "${key}" ran is unknown`),
 } satisfies Record<string, ErrorEntry>;
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -3,7 +3,11 @@
  * that coordinates the group, which may be itself.
  */
 import { setMaxListeners } from "node:events";
-import { createMapCoordinator, type MapCoordinator, type RankNews } from "../../coordination/experts/mapCoordinator.js";
+import {
+    createGroupCoordinator,
+    type GroupCoordinator,
+    type RankNews,
+} from "../../coordination/experts/groupCoordinator.js";
 import type { RankEngines, RankReport } from "../../coordination/experts/rankEngine.js";
 import type { DeploymentFeed } from "../../coordination/ingress/deploymentFeed.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
@@ -45,7 +49,7 @@
     let ranks: (Upstream | undefined)[] = [];
     let report: RankReport | undefined;
     let service: UpstreamService | undefined;
-    let coordinator: MapCoordinator | undefined;
+    let coordinator: GroupCoordinator | undefined;
     let wasActive = false;
 
     const gossip = startRankGossip({
@@ -115,7 +119,7 @@
     const openCoordinator = (known: RankReport): void => {
         if (coordinator === undefined && service?.experts !== undefined) {
             const { rank, ranks: size } = known;
-            coordinator = createMapCoordinator({
+            coordinator = createGroupCoordinator({
                 ownRank: rank,
                 ranks: size,
                 shape: service.experts,
--- a/src/transport/experts/rankGossip.ts
+++ b/src/transport/experts/rankGossip.ts
@@ -5,7 +5,7 @@
  */
 import { createSocket } from "node:dgram";
 import { z } from "zod";
-import type { RankNews } from "../../coordination/experts/mapCoordinator.js";
+import type { RankNews } from "../../coordination/experts/groupCoordinator.js";
 import type { IngressLog } from "../../coordination/ingress/ingressLog.js";
 import { decodeJsonAs, describeDecodingError } from "../../protocol/decoding.js";
 
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -167,6 +167,7 @@
             send: createSender(platform.heads, message, body),
             sink,
             signal: bounded.signal,
+            callerGone,
         };
         metrics.count(`ingress_requests_total{kind="${route.kind}"}`);
         await (route.kind === "streaming" ? runStream : runPlain)(context);
