Take an answer without a stated length for cut

A trace of its socket shows an orderly end after 25 of 40 bytes, no reset: the server had crashed, which looks like an end. Ruled out: a reset that Node's parser takes for an end.

--- a/src/standin/sealedServer.ts
+++ b/src/standin/sealedServer.ts
@@ -8,9 +8,10 @@
 
 /**
  * `not-run`: says that it did not run the request; `crossed`: answers under another request's id; `unsealed`: answers
- * without a seal; `cut`: ends its answer in the middle; `mute`: answers nothing; `error`: runs it and answers 500.
+ * without a seal; `cut`: ends its answer in the middle; `unframed`: states no length and closes in the middle, as if at the
+ * end; `mute`: answers nothing; `error`: runs it and answers 500.
  */
-export type ServerFault = "not-run" | "crossed" | "unsealed" | "cut" | "mute" | "error";
+export type ServerFault = "not-run" | "crossed" | "unsealed" | "cut" | "unframed" | "mute" | "error";
 
 /** A request as it reached the server. */
 export type SeenRequest = {
@@ -50,6 +51,13 @@
         [headerNames.answeringUpstream]: id,
     });
 
+    /** Closes in the middle of an answer that states no length. */
+    const endUnframed = (response: ServerResponse, requestId: string, type: string, part: string): void => {
+        const fields = Object.entries({ ...sealFor(requestId), "Content-Type": type, "Connection": "close" });
+        const head = fields.map(([name, value]) => `${name}: ${value}\r\n`).join("");
+        response.socket?.end(`HTTP/1.1 200 OK\r\n${head}\r\n${part}`);
+    };
+
     const stream = (
         request: IncomingMessage,
         response: ServerResponse,
@@ -57,6 +65,10 @@
         fault?: ServerFault,
     ): void => {
         const from = Number(request.headers[headerNames.lastEventId] ?? 0);
+        if (fault === "unframed") {
+            endUnframed(response, requestId, streamType, `id: ${from + 1}\ndata: piece ${from + 1}\n\n`);
+            return;
+        }
         response.writeHead(200, { ...sealFor(requestId), "Content-Type": streamType });
         let next = from + 1;
         const timer = setInterval(() => {
@@ -82,6 +94,10 @@
 
     const plain = (response: ServerResponse, requestId: string, fault?: ServerFault): void => {
         const body = `answer of ${id} to ${requestId}`;
+        if (fault === "unframed") {
+            endUnframed(response, requestId, "text/plain", body.slice(0, 5));
+            return;
+        }
         const seal = fault === "unsealed" ? { [headerNames.requestId]: requestId } : sealFor(requestId);
         response.writeHead(fault === "error" ? 500 : 200, { ...seal, "Content-Length": Buffer.byteLength(body) });
         if (fault === "cut") {
--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -1,8 +1,8 @@
 /**
  * Sends one request to one upstream over a connection of its own, with Node's HTTP client.
  *
- * The connection is made first, so a failure there means that nothing was sent. An answer without a stated length ends
- * with its connection; a reset there is a cut and not an end.
+ * The connection is made first, so a failure there means that nothing was sent. Only an answer that states its length, or
+ * comes in chunks, can be whole.
  */
 import { err, ok, type Result } from "neverthrow";
 import { type IncomingMessage, request as startRequest } from "node:http";
@@ -45,6 +45,9 @@
 
 /** The body of an answer with a limit on its silences. */
 const readBody = (message: IncomingMessage, socket: Socket, silenceMilliseconds: number) => {
+    // An upstream that dies closes its connections like one that has finished, so an answer that ends with its connection
+    // can't be shown to be whole.
+    const isFramed = ["content-length", "transfer-encoding"].some(name => message.headers[name] !== undefined);
     let isWhole = false;
     let failure: Error | undefined;
     const chunks: Buffer[] = [];
@@ -58,7 +61,7 @@
         if (!isEnded) {
             isEnded = true;
             failure = error;
-            isWhole = error === undefined && message.complete;
+            isWhole = error === undefined && message.complete && isFramed;
             clearTimeout(timer);
             notify();
         }
@@ -67,8 +70,7 @@
         finish(new Error(`silent for ${Math.round(silenceMilliseconds)} ms`));
         socket.destroy();
     }, silenceMilliseconds);
-    // The parser takes a reset for the end of an answer without a length, so the socket is asked first.
-    socket.prependListener("error", error => finish(error));
+    socket.once("error", error => finish(error));
     message.on("data", (chunk: Buffer) => {
         timer.refresh();
         chunks.push(chunk);
--- a/tests/ingress/wholePath.test.ts
+++ b/tests/ingress/wholePath.test.ts
@@ -103,7 +103,7 @@
     });
 
     describe("runs once what may not repeat", () => {
-        for (const fault of ["cut", "crossed", "unsealed"] as const) {
+        for (const fault of ["cut", "unframed", "crossed", "unsealed"] as const) {
             it(`and promises nothing when its answer was ${fault}`, async () => {
                 const both = await serve("catalogue", 2);
                 both.forEach(server => server.failNext(fault));
@@ -142,7 +142,7 @@
     });
 
     describe("repeats what may repeat", () => {
-        for (const fault of ["cut", "crossed", "unsealed", "error", "not-run"] as const) {
+        for (const fault of ["cut", "unframed", "crossed", "unsealed", "error", "not-run"] as const) {
             it(`when an answer was ${fault}`, async () => {
                 const [first, second] = await serve("catalogue", 2);
                 first?.failNext(fault);
@@ -158,17 +158,19 @@
             });
         }
 
-        it("and ends a stream whole that was cut, each event once", async () => {
-            const both = await serve("model", 2);
-            both[0]?.failNext("cut");
-            const first = await deployment.call("/talk/1", { method: "POST", tokens });
-            const second = await deployment.call("/talk/2", { method: "POST", tokens });
-            for (const answer of [first, second]) {
-                expect(answer.isWhole).to.equal(true);
-                expect(answer.body.match(/^id: \d+$/gm)).to.deep.equal([1, 2, 3, 4, 5, 6].map(id => `id: ${id}`));
-            }
-            expect(servers.flatMap(({ seen }) => seen).length).to.equal(3);
-        });
+        for (const fault of ["cut", "unframed"] as const) {
+            it(`and ends a stream whole that was ${fault}, each event once`, async () => {
+                const both = await serve("model", 2);
+                both[0]?.failNext(fault);
+                const first = await deployment.call("/talk/1", { method: "POST", tokens });
+                const second = await deployment.call("/talk/2", { method: "POST", tokens });
+                for (const answer of [first, second]) {
+                    expect(answer.isWhole).to.equal(true);
+                    expect(answer.body.match(/^id: \d+$/gm)).to.deep.equal([1, 2, 3, 4, 5, 6].map(id => `id: ${id}`));
+                }
+                expect(servers.flatMap(({ seen }) => seen).length).to.equal(3);
+            });
+        }
     });
 
     it("cancels the work of a caller that leaves", async () => {
