Remove parts of the ingress that nothing uses

Cause: found on reading the diff: look-ups and fields without a caller, among them the cold rate, which no decision reads. Change: removed. Measured: lint, build and the tests of the ingress pass; behaviour is unchanged.

--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -14,8 +14,6 @@
 const lapseGraceMilliseconds = 2_000;
 
 export type KnownUpstream = Upstream & {
-    /** When it stops being cold, by the steady clock. */
-    coldUntil: number;
     /** Its entry is missing since the store's return; it is gone at this instant unless it comes back. */
     goneAt: number | undefined;
 };
@@ -27,9 +25,7 @@
     offerConfiguration: (configuration: IngressConfiguration, source: string) => boolean;
     /** Upstreams of `service` that may be given new requests. */
     usable: (service: string) => KnownUpstream[];
-    find: (id: string) => KnownUpstream | undefined;
     all: () => KnownUpstream[];
-    isEvacuated: (availabilityZone: string) => boolean;
     evacuatedZones: () => string[];
 };
 
@@ -52,8 +48,7 @@
 
     const putUpstream = (upstream: Upstream): void => {
         const known = upstreams.get(upstream.id);
-        const coldUntil = clock.now() + upstream.coldMilliseconds;
-        upstreams.set(upstream.id, { ...upstream, coldUntil, goneAt: undefined });
+        upstreams.set(upstream.id, { ...upstream, goneAt: undefined });
         if (known === undefined || known.isDraining !== upstream.isDraining || known.bornAt !== upstream.bornAt) {
             const { id, service, address, availabilityZone, isDraining, coldMilliseconds } = upstream;
             const group = upstream.group?.name;
@@ -153,9 +148,7 @@
         offerConfiguration,
         usable: service =>
             [...upstreams.values()].filter(upstream => upstream.service === service && isUsable(upstream)),
-        find: id => upstreams.get(id),
         all: () => [...upstreams.values()],
-        isEvacuated: availabilityZone => evacuated.has(availabilityZone),
         evacuatedZones: () => [...evacuated],
     };
 };
--- a/src/coordination/ingress/peerLoad.ts
+++ b/src/coordination/ingress/peerLoad.ts
@@ -36,13 +36,10 @@
     entries: () => number;
     /** Whether entries of other availability zones were heard before and all are silent now. */
     isZoneAlone: (availabilityZone: string) => boolean;
-    /** Addresses of entries that are heard and in contact with the store, the last contact first. */
-    inContact: () => { address: string; configuration: number | undefined; }[];
 };
 
 /** Several messages may be lost or late before an entry counts as silent. */
 const silentMilliseconds = 1_500;
-const contactMilliseconds = 1_200;
 /** Seven messages in a row of all entries of the other zones. */
 const aloneMilliseconds = 750;
 
@@ -107,10 +104,5 @@
             return limits.length === 0 ? undefined : limits.reduce((total, limit) => total + limit, 0) / limits.length;
         },
         entries: () => fresh().length + 1,
-        inContact: () =>
-            fresh()
-                .filter(({ news }) => news.storeAge !== undefined && news.storeAge < contactMilliseconds)
-                .sort((left, right) => (left.news.storeAge ?? 0) - (right.news.storeAge ?? 0))
-                .map(({ news, address }) => ({ address, configuration: news.configuration })),
     };
 };
--- a/src/coordination/ingress/requestHeads.ts
+++ b/src/coordination/ingress/requestHeads.ts
@@ -24,7 +24,6 @@
     isSealed: boolean;
     /** States that the upstream has not run the request. */
     isNotRun: boolean;
-    answeringUpstream: string | undefined;
 };
 
 export type RequestHeads = {
--- a/src/coordination/ingress/routeTable.ts
+++ b/src/coordination/ingress/routeTable.ts
@@ -1,19 +1,12 @@
 /**
  * The configuration in force, compiled for look-ups: the route by host and longest path prefix, the account by key.
  */
-import type {
-    Envelope,
-    IngressAccount,
-    IngressConfiguration,
-    IngressRoute,
-    UpstreamService,
-} from "../../state/ingressTypes.js";
+import type { Envelope, IngressAccount, IngressConfiguration, IngressRoute } from "../../state/ingressTypes.js";
 
 export type RouteTable = {
     configuration: IngressConfiguration;
     findRoute: (host: string, path: string) => IngressRoute | undefined;
     findAccount: (apiKey: string) => IngressAccount | undefined;
-    findService: (name: string) => UpstreamService | undefined;
 };
 
 export const compileRouteTable = (configuration: IngressConfiguration): RouteTable => {
@@ -26,7 +19,6 @@
     const accounts = new Map(
         configuration.accounts.flatMap(account => account.keys.map(key => [key, account] as const)),
     );
-    const services = new Map(configuration.services.map(service => [service.name, service]));
 
     const findRoute = (host: string, path: string): IngressRoute | undefined => {
         const routes = byHost.get(host);
@@ -47,7 +39,6 @@
         configuration,
         findRoute,
         findAccount: apiKey => accounts.get(apiKey),
-        findService: name => services.get(name),
     };
 };
 
--- a/src/coordination/ingress/upstreamHealth.ts
+++ b/src/coordination/ingress/upstreamHealth.ts
@@ -24,7 +24,6 @@
     isPaused: (id: string) => boolean;
     /** Average time to an answer in milliseconds; undefined before the first. */
     answerMilliseconds: (id: string) => number | undefined;
-    forgetExcept: (ids: ReadonlySet<string>) => void;
 };
 
 export const createUpstreamHealth = (clock: Pick<Clock, "now">, log: IngressLog): UpstreamHealth => {
@@ -64,6 +63,5 @@
         },
         isPaused: id => (records.get(id)?.pausedUntil ?? 0) > clock.now(),
         answerMilliseconds: id => records.get(id)?.answerMilliseconds,
-        forgetExcept: ids => [...records.keys()].filter(id => !ids.has(id)).forEach(id => records.delete(id)),
     };
 };
--- a/src/state/ingressTypes.ts
+++ b/src/state/ingressTypes.ts
@@ -46,8 +46,6 @@
 
 export type UpstreamService = {
     name: string;
-    /** The most requests a second that a cold upstream bears; 0 where upstreams are never cold. */
-    coldRequestsPerSecond: number;
     /** Sizes of the expert maps of its groups; undefined for a plain service. */
     experts: ExpertShape | undefined;
 };
--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -49,7 +49,6 @@
     // can't be shown to be whole.
     const isFramed = ["content-length", "transfer-encoding"].some(name => message.headers[name] !== undefined);
     let isWhole = false;
-    let failure: Error | undefined;
     const chunks: Buffer[] = [];
     let isEnded = false;
     let wake: (() => void) | undefined;
@@ -60,7 +59,6 @@
     const finish = (error: Error | undefined): void => {
         if (!isEnded) {
             isEnded = true;
-            failure = error;
             isWhole = error === undefined && message.complete && isFramed;
             clearTimeout(timer);
             notify();
@@ -98,7 +96,7 @@
         }
     }
 
-    return { body: read(), isWhole: () => isWhole, failure: () => failure };
+    return { body: read(), isWhole: () => isWhole };
 };
 
 /** Sends the caller's `request`, whose body was read whole, with the header fields that `heads` writes. */
--- a/tests/ingress/overload.test.ts
+++ b/tests/ingress/overload.test.ts
@@ -33,7 +33,6 @@
     coldMilliseconds: 0,
     bornAt: 1,
     group: { name: "g", epoch: 1, rank, isOpen: true },
-    coldUntil: 0,
     goneAt: undefined,
 }));
 
