Close connections whose answer began before the stop and ended after it

A stream that began before the stop had promised to keep its connection; it ended after idle connections were closed, and the next request came on it. Change: a connection closes with its answer once the entry stops, and idle ones are closed until the end. Measured: the new test fails without the change (the second call is served) and passes with it.

--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -115,6 +115,12 @@
             response.shouldKeepAlive = false;
         }
         response.on("error", onError);
+        // An answer that began before the stop promised to keep its connection; a request on it could not be finished.
+        response.once("finish", () => {
+            if (isDraining) {
+                message.socket.end();
+            }
+        });
         const requestId = message.headers[heads.requestIdField];
         const sink = createSink(response, heads.requestIdField, typeof requestId === "string" ? requestId : undefined);
         const callerGone = peerGoneSignal(response);
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -223,8 +223,8 @@
             const startedAt = clock.now();
             const graceMilliseconds = config.graceSeconds * 1_000 - graceReserveMilliseconds;
             await clock.sleep(idleCloseMilliseconds, signal);
-            callers.closeIdle();
             while (callers.inProgress() > 0 && clock.now() - startedAt < graceMilliseconds) {
+                callers.closeIdle();
                 await clock.sleep(drainCheckMilliseconds, signal);
             }
             callers.close();
--- a/tests/ingress/wholePath.test.ts
+++ b/tests/ingress/wholePath.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { Agent } from "node:http";
 import { headerNames, topics } from "../../platform/names.js";
 import { type SealedServer, startSealedServer } from "../../src/standin/sealedServer.js";
 import { goodKey, type PlatformDeployment, startPlatformDeployment } from "../support/platformDeployment.js";
@@ -253,6 +254,20 @@
         });
     });
 
+    it("takes no request on a connection whose stream ended after the stop", async () => {
+        await serve("model", 1, { events: 300, eventMilliseconds: 10 });
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        const streaming = deployment.call("/talk/1", { method: "POST", tokens, agent, patience: 8_000 });
+        await deployment.until(() => runs() === 1);
+        const stopped = deployment.entry.stop();
+        expect((await streaming).isWhole).to.equal(true);
+        const second = await deployment.call("/talk/2", { method: "POST", tokens, agent }).catch(() => undefined);
+        expect(second).to.equal(undefined);
+        expect(runs()).to.equal(1);
+        agent.destroy();
+        await stopped;
+    });
+
     it("finishes what it has when it is stopped, and is not ready meanwhile", async () => {
         await serve("model", 1, { events: 40, eventMilliseconds: 10 });
         const streaming = deployment.call("/talk/1", { method: "POST", tokens });
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -1,7 +1,7 @@
 /**
  * An entry on the stand-ins of the users' platform, with a caller that speaks its protocol.
  */
-import { request as startRequest } from "node:http";
+import { type Agent, request as startRequest } from "node:http";
 import { platformEngines } from "../../platform/engineClient.js";
 import { createMemberList } from "../../platform/memberRecords.js";
 import { headerNames, paths, topics } from "../../platform/names.js";
@@ -44,6 +44,8 @@
     patience?: number;
     requestId?: string;
     headers?: Record<string, string>;
+    /** Keeps connections for further calls. */
+    agent?: Agent;
     /** Leaves after this many bytes of the answer. */
     leaveAfter?: number;
 };
@@ -71,7 +73,7 @@
         route("/read/", "idempotent", "catalogue"),
         route("/book/", "non_idempotent", "catalogue"),
         route("/book/special/", "non_idempotent", "other"),
-        route("/talk/", "streaming", "model", { resumable: true, gapTargetMs: 120 }),
+        route("/talk/", "streaming", "model", { resumable: true, gapTargetMs: 120, timeoutMs: 6_000 }),
     ],
     services: [{ name: "catalogue", coldPerS: 0 }, { name: "model", coldPerS: 26 }, { name: "other" }],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
@@ -94,7 +96,7 @@
             port: Number(port),
             path,
             method,
-            agent: false,
+            agent: options.agent ?? false,
             headers: {
                 host,
                 [headerNames.requestId]: requestId,
@@ -147,7 +149,7 @@
             logLevel: "info",
             callers: "127.0.0.1:0",
             readiness: "127.0.0.1:0",
-            graceSeconds: 3,
+            graceSeconds: 5,
             retryRatio: 0.2,
             retrySlack: 400,
             retryWindowSeconds: 10,
