Give places back when a stream that has begun meets a server's error; read whole answers in one place

A stream cut after its first events and answered with an error by its last server was given that answer as well; writing a second head threw, so its place was never given back and the entry's count of the group stayed too high for good. The loop that reads a whole answer also stood twice. Change: such a stream is cut like any other that can't go on; readWhole serves both tasks.

--- a/src/coordination/ingress/plainTask.ts
+++ b/src/coordination/ingress/plainTask.ts
@@ -18,6 +18,7 @@
     findFault,
     isCertainLoss,
     type LostSending,
+    readWhole,
     type SendingTimes,
     type UpstreamAnswer,
 } from "./upstreamCaller.js";
@@ -35,14 +36,6 @@
     /** The upstream ran the request and answered with an error of its own. */
     | { kind: "failed"; answer: UpstreamAnswer; body: Buffer[]; };
 
-const readWhole = async (answer: UpstreamAnswer): Promise<Buffer[] | undefined> => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of answer.body) {
-        chunks.push(chunk);
-    }
-    return answer.isWhole() ? chunks : undefined;
-};
-
 const judge = async (answer: UpstreamAnswer, requestId: string): Promise<Verdict> => {
     const fault = findFault(answer, requestId);
     if (fault !== undefined) {
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -20,6 +20,7 @@
     findFault,
     isCertainLoss,
     type LostSending,
+    readWhole,
     type SendingTimes,
     type UpstreamAnswer,
 } from "./upstreamCaller.js";
@@ -125,11 +126,8 @@
 
     /** Passes on an upstream's failure as it is; gives what became of it. */
     const passOn = async ({ sink }: RequestContext, answer: UpstreamAnswer): Promise<Ending> => {
-        const chunks: Buffer[] = [];
-        for await (const chunk of answer.body) {
-            chunks.push(chunk);
-        }
-        if (!answer.isWhole()) {
+        const chunks = await readWhole(answer);
+        if (chunks === undefined) {
             return { kind: "broken", reason: "the answer was cut" };
         }
         sink.begin(answer.status, answer.fields);
@@ -229,7 +227,9 @@
             let ending = await attempt(context, place, progress);
             if (ending.kind === "other") {
                 const { answer } = ending;
-                ending = answer.status < serverErrorStatus || sendings.reached.size + 1 >= context.route.attempts
+                const isLast = answer.status < serverErrorStatus || sendings.reached.size + 1 >= context.route.attempts;
+                // A caller that has a part of the stream can't be given another answer any more.
+                ending = isLast && !context.sink.hasBegun()
                     ? await passOn(context, answer)
                     : { kind: "broken", reason: `status ${answer.status}` };
                 answer.close();
--- a/src/coordination/ingress/upstreamCaller.ts
+++ b/src/coordination/ingress/upstreamCaller.ts
@@ -57,6 +57,15 @@
 /** Whether the loss shows that the upstream itself is not there. */
 export const isCertainLoss = ({ kind }: LostSending): boolean => kind === "unreachable" || kind === "misdirected";
 
+/** The whole body; undefined if the answer was cut. */
+export const readWhole = async (answer: UpstreamAnswer): Promise<Buffer[] | undefined> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of answer.body) {
+        chunks.push(chunk);
+    }
+    return answer.isWhole() ? chunks : undefined;
+};
+
 /** Sends the caller's request to `upstream`. */
 export type SendToUpstream = (
     upstream: Upstream,
--- a/src/standin/sealedServer.ts
+++ b/src/standin/sealedServer.ts
@@ -132,7 +132,7 @@
                 return;
             }
             const answered = fault === "crossed" ? "another-request" : requestId;
-            if (request.headers[headerNames.tokens] === undefined) {
+            if (request.headers[headerNames.tokens] === undefined || fault === "error") {
                 plain(response, answered, fault);
             }
             else {
--- a/tests/ingress/wholePath.test.ts
+++ b/tests/ingress/wholePath.test.ts
@@ -176,6 +176,21 @@
         }
     });
 
+    it("cuts a stream that no server goes on with, and gives its places back", async () => {
+        const both = await serve("model", 2);
+        for (let turn = 0; turn < 8; turn += 1) {
+            // The entry begins at either server; where it begins at the first, the second fails a stream that has begun.
+            both[0]?.failNext("cut");
+            both[1]?.failNext("error");
+            const answer = await deployment.call(`/talk/${turn}`, { method: "POST", tokens });
+            expect(answer.isWhole).to.equal(false);
+        }
+        const state = await (await fetch(`http://${deployment.entry.addresses.metrics}/state`)).json() as {
+            groups: { running: number; }[];
+        };
+        expect(state.groups.map(({ running }) => running)).to.deep.equal([0]);
+    });
+
     it("cancels the work of a caller that leaves", async () => {
         const [server] = await serve("model", 1, { events: 400, eventMilliseconds: 5 });
         await deployment.call("/talk/1", { method: "POST", tokens, leaveAfter: 30 });
