Spread entries' news through speakers of zones, and counts of ranks as growth

Each entry told each other one, which at 44 entries leaves 0.53 s between two messages, while some 80 streams start; a rank's 1,536 counts as decimal JSON, from 32 ranks, are more than the 5.6 Mbit/s link of the coordinator's machine carries; and the retry reserve was divided once, at the start, by the entries heard until then. Change: entries tell their zone, and two of each zone tell the others what it runs (newsSpread, in one deflated datagram); counts go as growth in varints (countDeltas); the reserve follows the most entries heard (retryReserve). Measured: by test, 44 entries hear each other within 0.5 s (by the old rule 0.53 s by calculation) also after both speakers of a zone are killed, and their retries stay within ratio and slack.

--- a/src/coordination/ingress/memberList.ts
+++ b/src/coordination/ingress/memberList.ts
@@ -4,7 +4,7 @@
 import type { Result } from "neverthrow";
 
 /** `address` is the `ip:port` for traffic between daemons. */
-export type Member = { host: string; address: string; };
+export type Member = { host: string; availabilityZone: string; address: string; };
 
 export type MemberList = {
     /** Enters this daemon; the newest entry of a host holds. */
--- /dev/null
+++ b/src/coordination/ingress/newsSpread.ts
@@ -0,0 +1,67 @@
+/**
+ * Which entries tell which others what they run, and how often.
+ *
+ * Load it answers: many entries. If each told every other, messages would grow with the square of their number and each
+ * would be heard ever more seldom, while streams are placed on these counts. So an entry tells only those of its own
+ * zone, and two entries of each zone tell all others what their zone runs. Each of the two speaks half as often, so when
+ * one dies the others hear the zone at half the pace until the next in order speaks in its place.
+ */
+import type { Clock } from "../../state/types.js";
+import type { EntryNews, PeerLoad } from "./peerLoad.js";
+
+export type KnownEntry = { host: string; availabilityZone: string; address: string; };
+
+export type NewsSpreadOptions = {
+    host: string;
+    availabilityZone: string;
+    /** Every other entry that is known. */
+    others: () => KnownEntry[];
+    peers: Pick<PeerLoad, "heardIn">;
+    ownNews: () => EntryNews;
+    send: (addresses: string[], news: EntryNews[]) => void;
+    clock: Clock;
+    signal: AbortSignal;
+};
+
+/** Fresh enough that few streams start between two messages: at 50 a second over all entries, five. */
+const shortestIntervalMilliseconds = 100;
+/** Keeps what one entry sends within its zone below about 80 messages a second. */
+const intervalPerMateMilliseconds = 12;
+/** Keeps what one zone sends to the others below about 200 messages a second. */
+const intervalPerOtherMilliseconds = 5;
+const speakersOfZone = 2;
+/** Four messages in a row; then the next entry of the zone speaks as well. */
+const speakerSilenceMilliseconds = 450;
+
+export const startNewsSpread = (options: NewsSpreadOptions): void => {
+    const { host, availabilityZone, others, peers, ownNews, send, clock, signal } = options;
+
+    const mates = (): KnownEntry[] => others().filter(entry => entry.availabilityZone === availabilityZone);
+    const strangers = (): KnownEntry[] => others().filter(entry => entry.availabilityZone !== availabilityZone);
+
+    const tellMates = async (): Promise<void> => {
+        while (!signal.aborted) {
+            const known = mates();
+            send(known.map(({ address }) => address), [ownNews()]);
+            const interval = Math.max(shortestIntervalMilliseconds, known.length * intervalPerMateMilliseconds);
+            await clock.sleep(interval, signal);
+        }
+    };
+
+    const tellStrangers = async (): Promise<void> => {
+        while (!signal.aborted) {
+            const heard = peers.heardIn(availabilityZone);
+            const hosts = heard.filter(({ age }) => age < speakerSilenceMilliseconds).map(({ news }) => news.host);
+            const speakers = [...hosts, host].sort().slice(0, speakersOfZone);
+            const known = strangers();
+            if (speakers.includes(host)) {
+                send(known.map(({ address }) => address), [ownNews(), ...heard.map(({ news }) => news)]);
+            }
+            const interval = Math.max(shortestIntervalMilliseconds, known.length * intervalPerOtherMilliseconds);
+            await clock.sleep(interval * speakers.length, signal);
+        }
+    };
+
+    void tellMates();
+    void tellStrangers();
+};
--- a/src/coordination/ingress/peerLoad.ts
+++ b/src/coordination/ingress/peerLoad.ts
@@ -26,30 +26,35 @@
 };
 
 export type PeerLoad = {
-    /** Takes news that came from `address`; older news than known are ignored. */
-    take: (news: EntryNews, address: string) => void;
+    /** Takes news that the entry `teller` passed on, mostly its own; older news than known are ignored. */
+    take: (news: EntryNews, teller: string) => void;
     /** Requests that the other entries run on an upstream. */
     runningOn: (id: string) => number;
     /** The other entries' mean estimate for a group; undefined if none has one. */
     limitOf: (group: string) => number | undefined;
     /** Entries that are heard, this one included. */
     entries: () => number;
+    /** The most entries that were heard at once, this one included. */
+    mostEntries: () => number;
+    /** What the entries of a zone said last, and how many milliseconds ago it came. */
+    heardIn: (availabilityZone: string) => { news: EntryNews; age: number; }[];
     /** Whether entries of other availability zones were heard before and all are silent now. */
     isZoneAlone: (availabilityZone: string) => boolean;
 };
 
 /** Several messages may be lost or late before an entry counts as silent. */
 const silentMilliseconds = 1_500;
-/** Seven messages in a row of all entries of the other zones. */
+/** Seven messages in a row of all zones but this one. */
 const aloneMilliseconds = 750;
 
-type Heard = { news: EntryNews; address: string; at: number; };
+type Heard = { news: EntryNews; at: number; };
 
 export const createPeerLoad = (clock: Pick<Clock, "now">, log: IngressLog): PeerLoad => {
     const heard = new Map<string, Heard>();
     let totals = new Map<string, number>();
     let totalsAt = -Infinity;
     let otherZonesHeardAt: number | undefined;
+    let mostHeard = 0;
     /** Sums are made anew this often at most, as every admitted request reads them. */
     const totalsAge = 10;
 
@@ -80,15 +85,16 @@
     };
 
     return {
-        take: (news, address) => {
+        take: (news, teller) => {
             const known = heard.get(news.host);
             if (known === undefined) {
-                log.dependency(`entry ${news.host}`, "regained", { address, incarnation: news.incarnation });
+                log.dependency(`entry ${news.host}`, "regained", { teller, incarnation: news.incarnation });
             }
             else if (known.news.incarnation === news.incarnation && known.news.sequence >= news.sequence) {
                 return;
             }
-            heard.set(news.host, { news, address, at: clock.now() });
+            heard.set(news.host, { news, at: clock.now() });
+            mostHeard = Math.max(mostHeard, heard.size);
         },
         isZoneAlone: availabilityZone => {
             const others = [...heard.values()].filter(({ news }) => news.availabilityZone !== availabilityZone);
@@ -104,5 +110,9 @@
             return limits.length === 0 ? undefined : limits.reduce((total, limit) => total + limit, 0) / limits.length;
         },
         entries: () => fresh().length + 1,
+        mostEntries: () => mostHeard + 1,
+        heardIn: availabilityZone =>
+            fresh().filter(({ news }) => news.availabilityZone === availabilityZone)
+                .map(({ news, at }) => ({ news, age: clock.now() - at })),
     };
 };
--- a/src/coordination/retryBudget.ts
+++ b/src/coordination/retryBudget.ts
@@ -24,28 +24,26 @@
 
 const defaultReserve: RetryReserve = { retries: 10, perSecond: 1, largestBalance: 100 };
 
-/** `ratio` gives the retries allowed for each request, as the settings now have it. */
+/** `ratio` gives the retries allowed for each request, and `reserve` those beside it, as both are now. */
 export const createRetryBudget = (
     clock: Pick<Clock, "now">,
     ratio: () => number,
-    reserve: RetryReserve = defaultReserve,
+    reserve: () => RetryReserve = () => defaultReserve,
 ): RetryBudget => {
-    const { retries: reservedRetries, perSecond: reservedRetriesPerSecond, largestBalance } = reserve;
-    let balance = reservedRetries;
+    let balance = reserve().retries;
     let refilledAt = clock.now();
 
     const refillReserve = (): void => {
         const now = clock.now();
-        const refill = (now - refilledAt) / 1_000 * reservedRetriesPerSecond;
+        const { retries, perSecond, largestBalance } = reserve();
+        const refill = (now - refilledAt) / 1_000 * perSecond;
         refilledAt = now;
-        if (balance < reservedRetries) {
-            balance = Math.min(reservedRetries, balance + refill);
-        }
+        balance = Math.min(largestBalance, balance < retries ? Math.min(retries, balance + refill) : balance);
     };
 
     return {
         recordRequest: () => {
-            balance = Math.min(largestBalance, balance + ratio());
+            balance = Math.min(reserve().largestBalance, balance + ratio());
         },
         takeRetry: () => {
             refillReserve();
--- a/src/protocol/entryNews.ts
+++ b/src/protocol/entryNews.ts
@@ -1,12 +1,17 @@
 /**
- * Messages between entries: the datagram with an entry's news, and the deployment as one entry tells it to another.
+ * The datagram between entries: what its sender runs, and what it heard of others that it speaks for, deflated.
  */
+import { Result } from "neverthrow";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { z } from "zod";
 import type { EntryNews } from "../coordination/ingress/peerLoad.js";
+import { decodeJsonAs, describeDecodingError } from "./decoding.js";
 
-const version = 1;
+const version = 2;
+/** A message beyond this is not of ours. */
+const largestBytes = 1 << 20;
 
-export const entryNewsSchema: z.ZodType<EntryNews> = z.object({
+const newsSchema = z.object({
     host: z.string(),
     availabilityZone: z.string(),
     incarnation: z.string(),
@@ -15,6 +20,20 @@
     limits: z.record(z.string(), z.number()),
     configuration: z.number().optional().transform(value => value),
     storeAge: z.number().optional().transform(value => value),
-}) as z.ZodType<EntryNews>;
+});
+const messageSchema = z.object({ version: z.literal(version), from: z.string(), news: z.array(newsSchema) });
 
-export const encodeEntryNews = (news: EntryNews): string => JSON.stringify({ version, ...news });
+export type NewsMessage = { from: string; news: EntryNews[]; };
+
+const inflate = Result.fromThrowable(
+    (message: Buffer) => inflateRawSync(message, { maxOutputLength: largestBytes }).toString("utf8"),
+    error => error instanceof Error ? error.message : String(error),
+);
+
+export const encodeNews = (message: NewsMessage): Buffer => deflateRawSync(JSON.stringify({ version, ...message }));
+
+export const decodeNews = (message: Buffer): Result<NewsMessage, string> =>
+    inflate(message).andThen(text => decodeJsonAs(messageSchema, text).mapErr(describeDecodingError)) as Result<
+        NewsMessage,
+        string
+    >;
--- a/src/transport/experts/rankGossip.ts
+++ b/src/transport/experts/rankGossip.ts
@@ -1,12 +1,18 @@
 /**
  * Datagrams between the agents of one group: each tells who it is, and the coordinator the counts of its rank.
  *
- * Counts are told as sums since the rank's start, so a lost datagram costs nothing but resolution.
+ * Counts are told as growth since the message before (see `countDeltas.ts`), so a lost datagram costs only resolution.
  */
 import { createSocket } from "node:dgram";
 import { z } from "zod";
 import type { RankNews } from "../../coordination/experts/groupCoordinator.js";
 import type { IngressLog } from "../../coordination/ingress/ingressLog.js";
+import {
+    type CountsReader,
+    type CountsWriter,
+    createCountsReader,
+    createCountsWriter,
+} from "../../protocol/countDeltas.js";
 import { decodeJsonAs, describeDecodingError } from "../../protocol/decoding.js";
 
 const optionalNumber = z.number().optional();
@@ -15,8 +21,7 @@
 const newsSchema = z.object({
     kind: z.literal("news"),
     engine: z.string(),
-    step: z.number(),
-    counts: z.array(z.number()),
+    counts: z.object({ fromStep: z.number(), step: z.number(), growth: z.string() }),
     report: z.object({
         group: z.string(),
         rank: z.number(),
@@ -48,12 +53,24 @@
 
 export const startRankGossip = ({ ip, port, onBeacon, onNews, log, signal }: RankGossipOptions): RankGossip => {
     const socket = createSocket("udp4");
+    /** By agent that is told. */
+    const writers = new Map<string, CountsWriter>();
+    /** By engine that was told of. */
+    const readers = new Map<string, CountsReader>();
     let isOpen = true;
     signal.addEventListener("abort", () => {
         isOpen = false;
         socket.close();
     }, { once: true });
     socket.on("error", error => log.belief("datagram socket failed", { reason: error.message }));
+    const takeNews = ({ engine, counts, report }: z.infer<typeof newsSchema>, from: string): void => {
+        const reader = readers.get(engine) ?? createCountsReader();
+        readers.set(engine, reader);
+        reader.read(report.epoch, counts).match(
+            sums => onNews({ report: report as RankNews["report"], engine, step: counts.step, counts: sums }),
+            reason => log.belief("counts ignored", { from, engine, reason }),
+        );
+    };
     socket.on("message", (message, { address, port: senderPort }) => {
         decodeJsonAs(messageSchema, message.toString("utf8")).match(
             told => {
@@ -61,7 +78,7 @@
                     onBeacon(told.group, told.rank, `${address}:${senderPort}`);
                 }
                 else {
-                    onNews(told as RankNews);
+                    takeNews(told as z.infer<typeof newsSchema>, address);
                 }
             },
             error => log.belief("datagram ignored", { from: address, reason: describeDecodingError(error) }),
@@ -79,6 +96,10 @@
     return {
         sendBeacon: (addresses, group, rank) =>
             addresses.forEach(address => send(address, { kind: "beacon", group, rank })),
-        sendNews: (address, news) => send(address, { kind: "news", ...news }),
+        sendNews: (address, { report, engine, step, counts }) => {
+            const writer = writers.get(address) ?? createCountsWriter();
+            writers.set(address, writer);
+            send(address, { kind: "news", engine, report, counts: writer.write(report.epoch, step, counts) });
+        },
     };
 };
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -13,6 +13,7 @@
 import { createPlainTask } from "../../coordination/ingress/plainTask.js";
 import type { RequestContext, SharedParts } from "../../coordination/ingress/requestContext.js";
 import type { RequestHeads } from "../../coordination/ingress/requestHeads.js";
+import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
 import { createStreamAdmission } from "../../coordination/ingress/streamAdmission.js";
 import { createStreamPlaces } from "../../coordination/ingress/streamPlaces.js";
@@ -56,11 +57,8 @@
 /** Left of the grace at the end, to close connections before the kill. */
 const graceReserveMilliseconds = 300;
 const drainCheckMilliseconds = 50;
-/** Retries that an entry may save up, in windows of its share. */
-const retryReserveShare = 0.7;
 /** Part of the allowed ratio that this entry uses; the rest covers requests that upstreams reject by themselves. */
 const retryRatioShare = 0.85;
-const fewestEntries = 8;
 
 export const startIngress = async (
     config: IngressConfig,
@@ -75,13 +73,11 @@
     const state = createDeploymentState(clock, log);
     const health = createUpstreamHealth(clock, log);
     const peers = createPeerLoad(clock, log);
-    // The reserve is laid out for the fewest entries that the sites have; where there are more, each uses less of it.
-    const retriesPerWindow = config.retrySlack * retryReserveShare / Math.max(fewestEntries, peers.entries());
-    const retryBudget = createRetryBudget(clock, () => config.retryRatio * retryRatioShare, {
-        retries: retriesPerWindow / 2,
-        perSecond: retriesPerWindow / 2 / config.retryWindowSeconds,
-        largestBalance: retriesPerWindow,
-    });
+    const retryBudget = createRetryBudget(
+        clock,
+        () => config.retryRatio * retryRatioShare,
+        createRetryReserve(config, peers.mostEntries),
+    );
     const shared: SharedParts = { clock, log, metrics, health, retryBudget, random: Math.random };
     const streamPlaces = createStreamPlaces({
         state,
--- /dev/null
+++ b/tests/ingress/manyEntries.test.ts
@@ -0,0 +1,158 @@
+/**
+ * What holds however many entries a deployment has: how soon they hear of each other, and what they retry together.
+ */
+import { expect } from "chai";
+import { setMaxListeners } from "node:events";
+import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
+import { type KnownEntry, startNewsSpread } from "../../src/coordination/ingress/newsSpread.js";
+import { createPeerLoad, type EntryNews, type PeerLoad } from "../../src/coordination/ingress/peerLoad.js";
+import { createRetryReserve } from "../../src/coordination/ingress/retryReserve.js";
+import { createRetryBudget } from "../../src/coordination/retryBudget.js";
+import { decodeNews, encodeNews } from "../../src/protocol/entryNews.js";
+import { steppedClock } from "../support/steppedClock.js";
+import { virtualClock } from "../support/virtualClock.js";
+
+const zones = ["kuopio", "varkaus", "iisalmi", "mikkeli"];
+const entriesOfZone = 11;
+
+const newsOf = (fields: Partial<EntryNews>): EntryNews => ({
+    host: "a",
+    availabilityZone: "kuopio",
+    incarnation: "1",
+    sequence: 1,
+    running: {},
+    limits: {},
+    configuration: undefined,
+    storeAge: undefined,
+    ...fields,
+});
+
+type Fleet = {
+    run: (milliseconds: number) => Promise<void>;
+    kill: (host: string) => void;
+    peersOf: (host: string) => PeerLoad;
+    hosts: string[];
+    sent: () => number;
+    /** The longest that `reader` heard nothing new of a living entry since the last call. */
+    longestGap: (reader: string) => number;
+};
+
+/** Entries whose messages arrive a millisecond later, in the four zones of the larger site. */
+const startFleet = (): Fleet => {
+    const clock = steppedClock(0);
+    const log = createIngressLog(() => undefined, clock);
+    const known: KnownEntry[] = zones.flatMap(availabilityZone =>
+        [...Array(entriesOfZone).keys()].map(index => {
+            const host = `${availabilityZone}-${String(index).padStart(2, "0")}`;
+            return { host, availabilityZone, address: host };
+        })
+    );
+    const alive = new Map(known.map(({ host }) => [host, new AbortController()]));
+    alive.forEach(({ signal }) => setMaxListeners(0, signal));
+    const peers = new Map(known.map(({ host }) => [host, createPeerLoad(clock, log)]));
+    const lastHeard = new Map<string, number>();
+    const gaps = new Map<string, number>();
+    let sent = 0;
+
+    const deliver = (to: string, told: EntryNews[]): void => {
+        for (const news of told.filter(({ host }) => host !== to && alive.get(host)?.signal.aborted === false)) {
+            const pair = `${to}<${news.host}`;
+            const before = peers.get(to)?.heardIn(news.availabilityZone).find(heard => heard.news.host === news.host);
+            if (before === undefined || before.news.sequence < news.sequence) {
+                gaps.set(to, Math.max(gaps.get(to) ?? 0, clock.now() - (lastHeard.get(pair) ?? clock.now())));
+                lastHeard.set(pair, clock.now());
+            }
+            peers.get(to)?.take(news, "");
+        }
+    };
+
+    for (const { host, availabilityZone } of known) {
+        const signal = (alive.get(host) as AbortController).signal;
+        let sequence = 0;
+        startNewsSpread({
+            host,
+            availabilityZone,
+            others: () => known.filter(entry => entry.host !== host),
+            peers: peers.get(host) as PeerLoad,
+            ownNews: () => newsOf({ host, availabilityZone, sequence: sequence += 1 }),
+            send: (addresses, told) => {
+                sent += addresses.length;
+                addresses.filter(to => alive.get(to)?.signal.aborted === false)
+                    .forEach(to => void clock.sleep(1, signal).then(() => deliver(to, told)));
+            },
+            clock,
+            signal,
+        });
+    }
+    return {
+        run: clock.run,
+        kill: host => alive.get(host)?.abort(),
+        peersOf: host => peers.get(host) as PeerLoad,
+        hosts: known.map(({ host }) => host),
+        sent: () => sent,
+        longestGap: reader => {
+            const gap = gaps.get(reader) ?? 0;
+            gaps.delete(reader);
+            return gap;
+        },
+    };
+};
+
+describe("news among many entries", () => {
+    it("reach every entry within a pass and a half of a group, at under 150 messages a second each", async () => {
+        const fleet = startFleet();
+        await fleet.run(2_000);
+        fleet.hosts.forEach(fleet.longestGap);
+        const before = fleet.sent();
+        await fleet.run(2_000);
+        expect(Math.max(...fleet.hosts.map(fleet.longestGap))).to.be.lessThan(500);
+        expect((fleet.sent() - before) / 2 / fleet.hosts.length).to.be.lessThan(150);
+        expect(fleet.peersOf("kuopio-00").entries()).to.equal(zones.length * entriesOfZone);
+    });
+
+    it("still come when both entries that speak for a zone are killed", async () => {
+        const fleet = startFleet();
+        await fleet.run(2_000);
+        fleet.kill("kuopio-00");
+        fleet.kill("kuopio-01");
+        await fleet.run(3_000);
+        const heard = fleet.peersOf("mikkeli-05").heardIn("kuopio");
+        expect(heard.map(({ news }) => news.host)).to.have.length(entriesOfZone - 2);
+        expect(Math.max(...heard.map(({ age }) => age))).to.be.lessThan(500);
+    });
+
+    it("come back out of their datagram as they went in, and other bytes don't", () => {
+        const news = [newsOf({ running: { x: 3 }, limits: { g: 40.5 } }), newsOf({ host: "b", storeAge: 7 })];
+        const decoded = decodeNews(encodeNews({ from: "a", news }))._unsafeUnwrap();
+        expect(decoded.from).to.equal("a");
+        expect(decoded.news[0]).to.deep.include({ running: { x: 3 }, limits: { g: 40.5 } });
+        expect(decoded.news[1]).to.deep.include({ host: "b", storeAge: 7 });
+        expect(decodeNews(Buffer.from("no datagram of ours")).isErr()).to.equal(true);
+    });
+});
+
+describe("retries of many entries together", () => {
+    const allowed = { retryRatio: 0.2, retrySlack: 244, retryWindowSeconds: 10 };
+    const entries = zones.length * entriesOfZone;
+
+    it("stay within the ratio and the slack of a window, whatever fails", () => {
+        const clock = virtualClock();
+        const budgets = Array.from(
+            { length: entries },
+            () => createRetryBudget(clock, () => 0.17, createRetryReserve(allowed, () => entries)),
+        );
+        const requestsPerSecond = 3;
+        let retries = 0;
+        for (let second = 0; second < allowed.retryWindowSeconds; second += 1) {
+            for (const budget of budgets) {
+                for (let request = 0; request < requestsPerSecond; request += 1) {
+                    budget.recordRequest();
+                    retries += budget.takeRetry() ? 1 : 0;
+                }
+            }
+            clock.advance(1_000);
+        }
+        const requests = entries * requestsPerSecond * allowed.retryWindowSeconds;
+        expect(retries).to.be.at.most(allowed.retryRatio * requests + allowed.retrySlack);
+    });
+});
