Share the reads of the list of upstreams between entries

Change: whoever reads the list tells the others when, and up to which record anything mattered; entries that have all of that read nothing themselves, those that lack some read at once, and without word entries read in the order of their names (sharedReads). An entry that others know to lack records of the operator ends its long poll and asks anew, so the poll may last 25 s. Agents read the list only while they coordinate or lack a rank.

--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -4,6 +4,7 @@
  * A configuration is never replaced by an older one. Upstreams whose entries lapsed while the store was away get a
  * moment after its return to enter themselves again before they are taken as gone.
  */
+import { isDeepStrictEqual } from "node:util";
 import type { IngressConfiguration, Upstream } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
 import type { FeedRecord, FeedSink, FeedTopic } from "./deploymentFeed.js";
@@ -46,7 +47,14 @@
         return true;
     };
 
-    const putUpstream = (upstream: Upstream): void => {
+    /** Whether anything but the passing of time differs. */
+    const isNews = (known: KnownUpstream | undefined, upstream: Upstream): boolean => {
+        const { coldMilliseconds, ...rest } = upstream;
+        const { coldMilliseconds: coldBefore, goneAt, ...before } = known ?? { coldMilliseconds: 0, goneAt: 0 };
+        return goneAt !== undefined || coldMilliseconds > coldBefore || !isDeepStrictEqual(rest, before);
+    };
+
+    const putUpstream = (upstream: Upstream): boolean => {
         const known = upstreams.get(upstream.id);
         upstreams.set(upstream.id, { ...upstream, goneAt: undefined });
         if (known === undefined || known.isDraining !== upstream.isDraining || known.bornAt !== upstream.bornAt) {
@@ -62,12 +70,13 @@
                 coldMilliseconds,
             });
         }
+        return isNews(known, upstream);
     };
 
-    const removeUpstream = (id: string, reason: string): void => {
+    const removeUpstream = (id: string, reason: string): boolean => {
         const known = upstreams.get(id);
         if (known === undefined) {
-            return;
+            return false;
         }
         const isInGrace = isStoreLost || clock.now() < graceUntil;
         if (isInGrace && !known.isDraining) {
@@ -82,10 +91,12 @@
             reason,
             keptFor: isInGrace ? lapseGraceMilliseconds : 0,
         });
+        return true;
     };
 
-    const setEvacuated = (availabilityZone: string, isOut: boolean): void => {
-        if (evacuated.has(availabilityZone) !== isOut) {
+    const setEvacuated = (availabilityZone: string, isOut: boolean): boolean => {
+        const isChange = evacuated.has(availabilityZone) !== isOut;
+        if (isChange) {
             if (isOut) {
                 evacuated.add(availabilityZone);
             }
@@ -94,25 +105,27 @@
             }
             log.belief(isOut ? "zone evacuated" : "zone returned", { zone: availabilityZone });
         }
+        return isChange;
     };
 
-    const handlers: { [Kind in FeedRecord["kind"]]: (record: Extract<FeedRecord, { kind: Kind; }>) => void; } = {
-        "configuration": ({ configuration }) => void offerConfiguration(configuration, "store"),
+    /** Each tells whether the record changed anything. */
+    const handlers: { [Kind in FeedRecord["kind"]]: (record: Extract<FeedRecord, { kind: Kind; }>) => boolean; } = {
+        "configuration": ({ configuration }) => offerConfiguration(configuration, "store"),
         "zone-evacuated": ({ availabilityZone }) => setEvacuated(availabilityZone, true),
         "zone-returned": ({ availabilityZone }) => setEvacuated(availabilityZone, false),
         "upstream": ({ upstream }) => putUpstream(upstream),
         "upstream-gone": ({ id }) => removeUpstream(id, "its entry was removed"),
         "unreadable": ({ key, reason }) => {
             log.belief("record ignored", { key, reason });
-            removeUpstream(key, "its entry can't be read");
+            return removeUpstream(key, "its entry can't be read");
         },
     };
 
-    const apply = (records: FeedRecord[]): void => {
-        for (const record of records) {
-            (handlers[record.kind] as (record: FeedRecord) => void)(record);
-        }
-    };
+    const apply = (records: FeedRecord[]): number =>
+        records.reduce((changed, record, index) => {
+            const isChange = (handlers[record.kind] as (record: FeedRecord) => boolean)(record);
+            return isChange ? index + 1 : changed;
+        }, 0);
 
     const replacers: Record<FeedTopic, (records: FeedRecord[]) => void> = {
         operator: records => {
--- a/src/coordination/ingress/newsSpread.ts
+++ b/src/coordination/ingress/newsSpread.ts
@@ -11,6 +11,20 @@
 
 export type KnownEntry = { host: string; availabilityZone: string; address: string; };
 
+/** News as they are when passed on `age` milliseconds after they came. */
+const aged = (news: EntryNews, age: number): EntryNews => {
+    const { store } = news;
+    return store === undefined ? news : {
+        ...news,
+        store: { ...store, contactAge: store.contactAge + age, listAge: store.listAge + age },
+    };
+};
+
+export type NewsSpread = {
+    /** Tells what is new at once, beside the regular messages. */
+    tellNow: () => void;
+};
+
 export type NewsSpreadOptions = {
     host: string;
     availabilityZone: string;
@@ -33,16 +47,24 @@
 /** Four messages in a row; then the next entry of the zone speaks as well. */
 const speakerSilenceMilliseconds = 450;
 
-export const startNewsSpread = (options: NewsSpreadOptions): void => {
+export const startNewsSpread = (options: NewsSpreadOptions): NewsSpread => {
     const { host, availabilityZone, others, peers, ownNews, send, clock, signal } = options;
 
     const mates = (): KnownEntry[] => others().filter(entry => entry.availabilityZone === availabilityZone);
     const strangers = (): KnownEntry[] => others().filter(entry => entry.availabilityZone !== availabilityZone);
 
+    const addressesOf = (entries: KnownEntry[]): string[] => entries.map(({ address }) => address);
+
+    /** The entries of this zone that speak for it; this one may be among them. */
+    const speakers = (): string[] => {
+        const heard = peers.heardIn(availabilityZone).filter(({ age }) => age < speakerSilenceMilliseconds);
+        return [...heard.map(({ news }) => news.host), host].sort().slice(0, speakersOfZone);
+    };
+
     const tellMates = async (): Promise<void> => {
         while (!signal.aborted) {
             const known = mates();
-            send(known.map(({ address }) => address), [ownNews()]);
+            send(addressesOf(known), [ownNews()]);
             const interval = Math.max(shortestIntervalMilliseconds, known.length * intervalPerMateMilliseconds);
             await clock.sleep(interval, signal);
         }
@@ -50,18 +72,20 @@
 
     const tellStrangers = async (): Promise<void> => {
         while (!signal.aborted) {
-            const heard = peers.heardIn(availabilityZone);
-            const hosts = heard.filter(({ age }) => age < speakerSilenceMilliseconds).map(({ news }) => news.host);
-            const speakers = [...hosts, host].sort().slice(0, speakersOfZone);
             const known = strangers();
-            if (speakers.includes(host)) {
-                send(known.map(({ address }) => address), [ownNews(), ...heard.map(({ news }) => news)]);
+            const speaking = speakers();
+            if (speaking.includes(host)) {
+                const heard = peers.heardIn(availabilityZone).map(({ news, age }) => aged(news, age));
+                send(addressesOf(known), [ownNews(), ...heard]);
             }
             const interval = Math.max(shortestIntervalMilliseconds, known.length * intervalPerOtherMilliseconds);
-            await clock.sleep(interval * speakers.length, signal);
+            await clock.sleep(interval * speaking.length, signal);
         }
     };
 
     void tellMates();
     void tellStrangers();
+    return {
+        tellNow: () => send(addressesOf(speakers().includes(host) ? others() : mates()), [ownNews()]),
+    };
 };
--- a/src/coordination/ingress/peerLoad.ts
+++ b/src/coordination/ingress/peerLoad.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock } from "../../state/types.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { StoreNews } from "./sharedReads.js";
 
 /** What one entry says of itself. */
 export type EntryNews = {
@@ -19,10 +20,8 @@
     running: Record<string, number>;
     /** Its estimate of the streams that each group can pace. */
     limits: Record<string, number>;
-    /** Version of the configuration that it has in force, if any. */
-    configuration: number | undefined;
-    /** How long ago the store answered it, in milliseconds; undefined if never. */
-    storeAge: number | undefined;
+    /** Undefined until it has read everything once. */
+    store: StoreNews | undefined;
 };
 
 export type PeerLoad = {
@@ -38,6 +37,8 @@
     mostEntries: () => number;
     /** What the entries of a zone said last, and how many milliseconds ago it came. */
     heardIn: (availabilityZone: string) => { news: EntryNews; age: number; }[];
+    /** This entry's place, from 0, among those that are heard, in the order of their names. */
+    turnOf: (host: string) => number;
     /** Whether entries of other availability zones were heard before and all are silent now. */
     isZoneAlone: (availabilityZone: string) => boolean;
 };
@@ -110,6 +111,7 @@
             return limits.length === 0 ? undefined : limits.reduce((total, limit) => total + limit, 0) / limits.length;
         },
         entries: () => fresh().length + 1,
+        turnOf: host => fresh().filter(({ news }) => news.host < host).length,
         mostEntries: () => mostHeard + 1,
         heardIn: availabilityZone =>
             fresh().filter(({ news }) => news.availabilityZone === availabilityZone)
--- a/src/protocol/entryNews.ts
+++ b/src/protocol/entryNews.ts
@@ -18,8 +18,13 @@
     sequence: z.number(),
     running: z.record(z.string(), z.number()),
     limits: z.record(z.string(), z.number()),
-    configuration: z.number().optional().transform(value => value),
-    storeAge: z.number().optional().transform(value => value),
+    store: z.object({
+        contactAge: z.number(),
+        operatorOffset: z.number(),
+        listAge: z.number(),
+        listEnd: z.number(),
+        listChangedBefore: z.number(),
+    }).optional(),
 });
 const messageSchema = z.object({ version: z.literal(version), from: z.string(), news: z.array(newsSchema) });
 
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -28,8 +28,9 @@
 /** Without a beacon of a lower rank for this long, the next rank coordinates; each higher rank waits a little longer. */
 const silenceMilliseconds = 1_300;
 const silencePerRankMilliseconds = 400;
-/** The list of ranks changes when one starts anew at another address; the store's reads are priced. */
+/** The list of ranks changes when one starts anew at another address; only the coordinator needs it, and reads cost. */
 const listMilliseconds = 6_000;
+const listCheckMilliseconds = 500;
 const listRetryMilliseconds = 1_000;
 
 export const startRankDaemon = async (
@@ -89,7 +90,13 @@
     const agentOf = (upstream: Upstream): string => `${upstream.address.split(":")[0] ?? ""}:${gossipPort}`;
 
     const followList = async (): Promise<void> => {
+        let readAt = -Infinity;
         while (!signal.aborted) {
+            const isComplete = ranks.length > 0 && !ranks.includes(undefined) && service !== undefined;
+            if (isComplete && (!wasActive || clock.now() - readAt < listMilliseconds)) {
+                await clock.sleep(listCheckMilliseconds, signal);
+                continue;
+            }
             const listed = await adapter.feed.readAll("upstreams", signal);
             if (service?.experts === undefined) {
                 const configured = await adapter.feed.readAll("operator", signal);
@@ -106,8 +113,8 @@
                 }
                 ranks = found;
             }
-            const isKnown = ranks.length > 0 && !ranks.includes(undefined) && service !== undefined;
-            await clock.sleep(isKnown ? listMilliseconds : listRetryMilliseconds, signal);
+            readAt = clock.now();
+            await clock.sleep(listRetryMilliseconds, signal);
         }
     };
 
--- a/src/transport/ingress/entryGossip.ts
+++ b/src/transport/ingress/entryGossip.ts
@@ -7,12 +7,13 @@
 import { createSocket } from "node:dgram";
 import type { IngressLog } from "../../coordination/ingress/ingressLog.js";
 import type { MemberList } from "../../coordination/ingress/memberList.js";
-import { type KnownEntry, startNewsSpread } from "../../coordination/ingress/newsSpread.js";
+import { type KnownEntry, type NewsSpread, startNewsSpread } from "../../coordination/ingress/newsSpread.js";
 import type { EntryNews, PeerLoad } from "../../coordination/ingress/peerLoad.js";
 import { decodeNews, encodeNews } from "../../protocol/entryNews.js";
 import type { Clock } from "../../state/types.js";
 
-const listIntervalMilliseconds = 15_000;
+/** Entries that start tell all others by themselves; the list is for what was lost. */
+const listIntervalMilliseconds = 40_000;
 const listRetryMilliseconds = 1_000;
 
 export type EntryGossipOptions = {
@@ -22,15 +23,15 @@
     port: number;
     members: MemberList;
     peers: PeerLoad;
-    /** Called after another entry's news were taken. */
-    onNews: () => void;
+    /** Called after news of other entries were taken. */
+    onNews: (news: EntryNews[]) => void;
     news: () => Omit<EntryNews, "host" | "availabilityZone" | "sequence">;
     clock: Clock;
     log: IngressLog;
     signal: AbortSignal;
 };
 
-export const startEntryGossip = (options: EntryGossipOptions): void => {
+export const startEntryGossip = (options: EntryGossipOptions): NewsSpread => {
     const { host, availabilityZone, ip, port, members, peers, onNews, news, clock, log, signal } = options;
     const socket = createSocket("udp4");
     const others = new Map<string, KnownEntry>();
@@ -39,14 +40,15 @@
     socket.on("message", (message, { address, port: senderPort }) => {
         decodeNews(message).match(
             ({ from, news: told }) => {
-                for (const entry of told.filter(candidate => candidate.host !== host)) {
+                const news = told.filter(entry => entry.host !== host);
+                for (const entry of news) {
                     if (entry.host === from) {
                         const known = { host: from, availabilityZone: entry.availabilityZone };
                         others.set(from, { ...known, address: `${address}:${senderPort}` });
                     }
                     peers.take(entry, from);
                 }
-                onNews();
+                onNews(news);
             },
             reason => log.belief("datagram ignored", { from: address, reason }),
         );
@@ -88,18 +90,17 @@
         }
     };
 
-    socket.bind(port, ip, () => {
-        startNewsSpread({
-            host,
-            availabilityZone,
-            others: () => [...others.values()],
-            peers,
-            ownNews,
-            send,
-            clock,
-            signal,
-        });
-        signal.addEventListener("abort", () => socket.close(), { once: true });
-    });
+    socket.bind(port, ip);
+    signal.addEventListener("abort", () => socket.close(), { once: true });
     void followList();
+    return startNewsSpread({
+        host,
+        availabilityZone,
+        others: () => [...others.values()],
+        peers,
+        ownNews,
+        send,
+        clock,
+        signal,
+    });
 };
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -15,6 +15,7 @@
 import type { RequestHeads } from "../../coordination/ingress/requestHeads.js";
 import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
+import { createSharedReads } from "../../coordination/ingress/sharedReads.js";
 import { createStreamAdmission } from "../../coordination/ingress/streamAdmission.js";
 import { createStreamPlaces } from "../../coordination/ingress/streamPlaces.js";
 import { createStreamTask } from "../../coordination/ingress/streamTask.js";
@@ -101,33 +102,41 @@
     const runningByUpstream = (): Record<string, number> =>
         Object.fromEntries([...streamPlaces.running(), ...plainPlaces.running()].filter(([, count]) => count > 0));
 
-    const feed = followDeployment({ feed: platform.feed, sink: state, clock, log, random: Math.random, signal });
-
-    const storeAge = (): number | undefined => {
-        const contact = feed.lastContact();
-        return contact === undefined ? undefined : Math.round(clock.now() - contact);
-    };
-    startEntryGossip({
+    const reads = createSharedReads(clock, () => peers.turnOf(config.host));
+    const follower = followDeployment({
+        feed: platform.feed,
+        sink: state,
+        reads,
+        onListRead: () => spread.tellNow(),
+        clock,
+        log,
+        random: Math.random,
+        signal,
+    });
+    const spread = startEntryGossip({
         host: config.host,
         availabilityZone: config.availabilityZone,
         ip: config.ip,
         port: config.internalPorts[0],
         members: platform.members,
         peers,
-        onNews: admission.placeFreed,
+        onNews: heard => {
+            heard.forEach(({ store }) => store === undefined ? undefined : reads.hear(store));
+            follower.newsHeard();
+            admission.placeFreed();
+        },
         news: () => ({
             incarnation,
             running: runningByUpstream(),
             limits: Object.fromEntries(streamPlaces.groups().map(({ group, limit }) => [group, limit])),
-            configuration: state.routeTable()?.configuration.version,
-            storeAge: storeAge(),
+            store: reads.news(),
         }),
         clock,
         log,
         signal,
     });
 
-    const isStale = (): boolean => clock.now() - (feed.lastContact() ?? -Infinity) > staleMilliseconds;
+    const isStale = (): boolean => clock.now() - (reads.lastContact() ?? -Infinity) > staleMilliseconds;
 
     const handle = async ({ message, body, sink, callerGone, arrivedAt }: CallerRequest): Promise<void> => {
         const envelope = platform.heads.readEnvelope(message);
@@ -203,7 +212,7 @@
         host: config.host,
         availabilityZone: config.availabilityZone,
         configuration: state.routeTable()?.configuration.version,
-        storeContactAgo: storeAge(),
+        storeReads: reads.news(),
         entries: peers.entries(),
         evacuatedZones: state.evacuatedZones(),
         upstreams: state.all(),
--- a/tests/ingress/decisions.test.ts
+++ b/tests/ingress/decisions.test.ts
@@ -160,8 +160,7 @@
         sequence: 1,
         running: { x: 3 },
         limits: { g: 40 },
-        configuration: 1,
-        storeAge: 10,
+        store: undefined,
         ...fields,
     });
 
--- a/tests/ingress/manyEntries.test.ts
+++ b/tests/ingress/manyEntries.test.ts
@@ -22,8 +22,7 @@
     sequence: 1,
     running: {},
     limits: {},
-    configuration: undefined,
-    storeAge: undefined,
+    store: undefined,
     ...fields,
 });
 
@@ -122,11 +121,12 @@
     });
 
     it("come back out of their datagram as they went in, and other bytes don't", () => {
-        const news = [newsOf({ running: { x: 3 }, limits: { g: 40.5 } }), newsOf({ host: "b", storeAge: 7 })];
+        const store = { contactAge: 3, operatorOffset: 8, listAge: 40, listEnd: 900, listChangedBefore: 77 };
+        const news = [newsOf({ running: { x: 3 }, limits: { g: 40.5 } }), newsOf({ host: "b", store })];
         const decoded = decodeNews(encodeNews({ from: "a", news }))._unsafeUnwrap();
         expect(decoded.from).to.equal("a");
         expect(decoded.news[0]).to.deep.include({ running: { x: 3 }, limits: { g: 40.5 } });
-        expect(decoded.news[1]).to.deep.include({ host: "b", storeAge: 7 });
+        expect(decoded.news[1]).to.deep.include({ host: "b", store });
         expect(decodeNews(Buffer.from("no datagram of ours")).isErr()).to.equal(true);
     });
 });
