--- a/src/coordination/experts/sampledPlacement.ts
+++ b/src/coordination/experts/sampledPlacement.ts
@@ -29,6 +29,8 @@
 
 /** Experts considered for a further replica in one step, by their load on the heaviest ranks. */
 const candidateExperts = 6;
+/** Ranks considered for a further replica, the least loaded first; all of them in the smaller groups in use. */
+const candidateRanks = 10;
 /** Replicas considered for removal on a full rank, the least loaded first. */
 const candidateEvictions = 3;
 const normExponent = 4;
@@ -78,31 +80,56 @@
 
 type Move = { expert: number; rank: number; evicted: number | undefined; };
 
-/** The loads after `move`, without changing the layer. */
-const loadAfter = ({ holders, demand, load }: Layer, { expert, rank, evicted }: Move): number[][] => {
+/** What a move adds to a rank's load: parts of the tokens of its expert and of the one that it evicts. */
+type RankChange = { rank: number; ofExpert: number; ofEvicted: number; };
+
+/** The ranks whose load a move changes; all others keep theirs. */
+const changesOf = ({ holders }: Layer, { expert, rank, evicted }: Move): RankChange[] => {
+    const changes = new Map<number, RankChange>();
+    const changeOf = (changed: number): RankChange => {
+        const known = changes.get(changed) ?? { rank: changed, ofExpert: 0, ofEvicted: 0 };
+        changes.set(changed, known);
+        return known;
+    };
     const before = holders[expert] as number[];
-    const evictedBefore = evicted === undefined ? [] : holders[evicted] as number[];
-    return load.map((row, sample) => {
-        const next = row.slice();
-        const tokens = demand[sample]?.[expert] ?? 0;
-        for (const holder of before) {
-            next[holder] = (next[holder] as number) - tokens / before.length + tokens / (before.length + 1);
-        }
-        next[rank] = (next[rank] as number) + tokens / (before.length + 1);
-        if (evicted !== undefined) {
-            const others = demand[sample]?.[evicted] ?? 0;
-            for (const holder of evictedBefore) {
-                next[holder] = (next[holder] as number) - others / evictedBefore.length
-                    + (holder === rank ? 0 : others / (evictedBefore.length - 1));
-            }
+    before.forEach(holder => changeOf(holder).ofExpert = 1 / (before.length + 1) - 1 / before.length);
+    changeOf(rank).ofExpert = 1 / (before.length + 1);
+    if (evicted !== undefined) {
+        const held = holders[evicted] as number[];
+        held.forEach(holder => changeOf(holder).ofEvicted = 1 / (held.length - 1) - 1 / held.length);
+        changeOf(rank).ofEvicted = -1 / held.length;
+    }
+    return [...changes.values()];
+};
+
+/** How much a move changes the layer's norm. */
+const normChange = (layer: Layer, move: Move): number => {
+    const { demand, load } = layer;
+    const changes = changesOf(layer, move);
+    let change = 0;
+    for (let sample = 0; sample < load.length; sample += 1) {
+        const row = load[sample] as number[];
+        const tokens = demand[sample]?.[move.expert] ?? 0;
+        const others = move.evicted === undefined ? 0 : demand[sample]?.[move.evicted] ?? 0;
+        for (const { rank, ofExpert, ofEvicted } of changes) {
+            const before = row[rank] as number;
+            const after = before + ofExpert * tokens + ofEvicted * others;
+            change += after ** normExponent - before ** normExponent;
         }
-        return next;
-    });
+    }
+    return change;
 };
 
 const apply = (layer: Layer, move: Move): void => {
     const { expert, rank, evicted } = move;
-    layer.load = loadAfter(layer, move);
+    const changes = changesOf(layer, move);
+    layer.load.forEach((row, sample) => {
+        const tokens = layer.demand[sample]?.[expert] ?? 0;
+        const others = evicted === undefined ? 0 : layer.demand[sample]?.[evicted] ?? 0;
+        changes.forEach(({ rank: changed, ofExpert, ofEvicted }) =>
+            row[changed] = (row[changed] as number) + ofExpert * tokens + ofEvicted * others
+        );
+    });
     layer.held[rank]?.add(expert);
     layer.holders[expert]?.push(rank);
     if (evicted !== undefined) {
@@ -137,24 +164,34 @@
         .slice(0, demand.length > 0 ? candidateEvictions : 0)
         .map(({ expert }) => expert);
 
-type Step = { move: Move; norm: number; };
+type Step = { move: Move; change: number; };
+
+/** Ranks that may take in a replica, the least loaded first. */
+const openRanks = ({ held, added, load }: Layer, shape: ExpertShape, room: number[]): number[] => {
+    const totals = held.map((unused, rank) => load.reduce((sum, row) => sum + (row[rank] ?? 0), 0));
+    return [...held.keys()]
+        .filter(rank => (added[rank] ?? 0) < shape.newPerMap && (room[rank] ?? 0) > 0)
+        .sort((left, right) => (totals[left] as number) - (totals[right] as number) || left - right)
+        .slice(0, candidateRanks);
+};
 
 /** The move that lowers the layer's norm most. */
 const bestStep = (layer: Layer, shape: ExpertShape, totals: number[], room: number[]): Step | undefined => {
+    const ranks = openRanks(layer, shape, room).map(rank => {
+        const hasPlace = (layer.held[rank]?.size ?? 0) < shape.placesPerRank;
+        return { rank, options: hasPlace ? [undefined] : evictions(layer, rank, totals) };
+    });
     let best: Step | undefined;
     for (const expert of heaviestExperts(layer)) {
-        for (let rank = 0; rank < layer.held.length; rank += 1) {
-            const isFull = (layer.added[rank] ?? 0) >= shape.newPerMap || (room[rank] ?? 0) <= 0;
-            if (isFull || layer.held[rank]?.has(expert) === true) {
+        for (const { rank, options } of ranks) {
+            if (layer.held[rank]?.has(expert) === true) {
                 continue;
             }
-            const hasPlace = (layer.held[rank]?.size ?? 0) < shape.placesPerRank;
-            const options = hasPlace ? [undefined] : evictions(layer, rank, totals);
             for (const evicted of options) {
                 const move = { expert, rank, evicted };
-                const after = norm(loadAfter(layer, move));
-                if (best === undefined || after < best.norm) {
-                    best = { move, norm: after };
+                const change = normChange(layer, move);
+                if (best === undefined || change < best.change) {
+                    best = { move, change };
                 }
             }
         }
@@ -187,11 +224,11 @@
     for (let active = [...open]; active.length > 0;) {
         active = active.filter(entry => {
             const step = entry.norm > 0 ? bestStep(entry.layer, shape, entry.totals, room) : undefined;
-            if (step === undefined || step.norm > entry.norm * (1 - limits.leastGain)) {
+            if (step === undefined || step.change > -entry.norm * limits.leastGain) {
                 return false;
             }
             apply(entry.layer, step.move);
-            entry.norm = step.norm;
+            entry.norm += step.change;
             room[step.move.rank] = (room[step.move.rank] ?? 0) - 1;
             copies += 1;
             return true;
