Await both topics by long polls and share one probe of the store

A log line at each read showed 0 records for seconds: the platform writes a record only where more than a heartbeat changed, so the list did not grow and no read vouched for anything. The assumption that each upstream writes once a second, on which reads at a pace were built, was wrong. Change: the list is awaited by a long poll like the operator's records; storeWatch replaces sharedReads. Entries tell each other how far they have read and when the store last answered; one probe for all shows that it lives, in turns; whoever has read less than another asks anew after 0.3 s.

--- a/src/coordination/ingress/deploymentFeed.ts
+++ b/src/coordination/ingress/deploymentFeed.ts
@@ -1,16 +1,16 @@
 /**
  * Follows the operator's configuration and the list of upstreams in the platform's store.
  *
- * Operator changes are awaited by a long poll, as they are rare. Upstreams are read when `SharedReads` finds it due, since
- * each of them writes about once a second and a long poll would be answered at each of those writes. Whichever loop finds
- * the store gone wakes the other, and so does another entry that has newer records of the operator, so that a connection
- * which went silent can't hide a change for the length of a long poll.
+ * Both are awaited by long polls: the store adds a record only where more than a heartbeat changed. A poll whose
+ * connection fell silent would hide changes, so a probe now and then shows whether the store answers (see
+ * `storeWatch.ts`). Whichever call finds the store gone ends the others, and a poll asks anew when another entry has
+ * records that it lacks.
  */
 import type { Result } from "neverthrow";
 import type { IngressConfiguration, Upstream } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
 import type { IngressLog } from "./ingressLog.js";
-import type { SharedReads } from "./sharedReads.js";
+import type { StoreWatch } from "./storeWatch.js";
 
 export type FeedTopic = "operator" | "upstreams";
 
@@ -39,25 +39,30 @@
 export type FeedSink = {
     /** Takes all records of a topic; what is not among them no longer holds. */
     replace: (topic: FeedTopic, records: FeedRecord[]) => void;
-    /** Takes records that follow those taken before; gives how many there are up to the last that changed anything. */
-    apply: (records: FeedRecord[]) => number;
+    /** Takes records that follow those taken before. */
+    apply: (records: FeedRecord[]) => void;
     storeLost: () => void;
     storeRegained: () => void;
 };
 
 /** Each long poll is priced, and the store lets none wait longer than 30 s. */
-const operatorWaitMilliseconds = 25_000;
+const pollMilliseconds = 25_000;
 /** A change reaches every entry's own long poll within some milliseconds; one that lacks it after this asks again. */
 const behindMilliseconds = 300;
 /** Soon enough to serve within a second of the store's return, slow enough to cost two calls a second. */
 const retryPaceMilliseconds = 400;
 
+/** Between two looks at whether a probe is due, while none is. */
+const idleProbeMilliseconds = 50;
+
+const followedTopics: FeedTopic[] = ["operator", "upstreams"];
+
 export type FollowOptions = {
     feed: DeploymentFeed;
     sink: FeedSink;
-    reads: SharedReads;
-    /** Called after the list of upstreams was read, so that the others hear of it soon. */
-    onListRead: () => void;
+    watch: StoreWatch;
+    /** Called after the store answered, so that the others hear of it soon. */
+    onContact: () => void;
     clock: Clock;
     log: IngressLog;
     random: () => number;
@@ -65,45 +70,41 @@
 };
 
 export type DeploymentFollower = {
-    /** To be called after another entry's news of its reads were heard. */
+    /** To be called after another entry's news of the store were heard. */
     newsHeard: () => void;
 };
 
-/** Starts both loops. */
 export const followDeployment = (options: FollowOptions): DeploymentFollower => {
-    const { feed, sink, reads, onListRead, clock, log, random, signal } = options;
+    const { feed, sink, watch, onContact, clock, log, random, signal } = options;
     let isLost = false;
-    let isBehind = false;
-    /** Ends the wait for the next read of upstreams. */
-    let nap = new AbortController();
-    /** End the calls and waits under way of the loop; `signal` does so too. */
-    const wakes: Record<FeedTopic, AbortController> = {
+    /** Topics in which others are ahead, while they get the chance to come by themselves. */
+    const lagging = new Set<FeedTopic>();
+    /** End the polls under way; `signal` does so too. */
+    const polls: Record<FeedTopic, AbortController> = {
         operator: new AbortController(),
         upstreams: new AbortController(),
     };
-    const wake = (topic: FeedTopic): void => {
-        wakes[topic].abort();
-        wakes[topic] = new AbortController();
+    const askAnew = (topic: FeedTopic): void => {
+        polls[topic].abort();
+        polls[topic] = new AbortController();
     };
-    signal.addEventListener("abort", () => Object.values(wakes).forEach(controller => controller.abort()), {
-        once: true,
-    });
+    signal.addEventListener("abort", () => followedTopics.forEach(topic => polls[topic].abort()), { once: true });
 
     const reportFailure = (topic: FeedTopic, { kind, reason }: FeedFailure): void => {
-        const lastContact = reads.lastContact();
+        const lastContact = watch.lastContact();
         const lastContactAgo = lastContact === undefined ? undefined : Math.round(clock.now() - lastContact);
         log.belief("store read failed", { topic, failure: kind, reason, lastContactAgo });
         if (kind === "unavailable" && !isLost) {
             isLost = true;
             sink.storeLost();
             log.dependency("store", "lost", { reason });
-            wake("operator");
-            wake("upstreams");
+            followedTopics.forEach(askAnew);
         }
     };
 
     const reportContact = (): void => {
-        reads.contact();
+        watch.contact();
+        onContact();
         if (isLost) {
             isLost = false;
             sink.storeRegained();
@@ -111,99 +112,74 @@
         }
     };
 
-    /** Reads on from `offset`, or everything; undefined after a failure, once the next try is due. */
-    const readOn = async (
-        topic: FeedTopic,
-        offset: number | undefined,
-        waitMilliseconds: number,
-    ): Promise<FeedSlice | FeedFailure> => {
-        const call = wakes[topic].signal;
-        const slice = offset === undefined
-            ? await feed.readAll(topic, call)
-            : await feed.readNewer(topic, offset, waitMilliseconds, call);
-        if (slice.isOk()) {
-            reportContact();
-            return slice.value;
-        }
-        // A call that was ended from here says nothing about the store.
-        if (!call.aborted) {
-            reportFailure(topic, slice.error);
-            await clock.sleep(retryPaceMilliseconds * (0.5 + random()), signal);
-        }
-        return slice.error;
-    };
-
-    const offsetAfter = (offset: number | undefined, { kind }: FeedFailure): number | undefined =>
-        kind === "truncated" ? undefined : offset;
-
-    const followOperator = async (): Promise<void> => {
+    const follow = async (topic: FeedTopic): Promise<void> => {
         let offset: number | undefined;
         while (!signal.aborted) {
-            const slice = await readOn("operator", offset, operatorWaitMilliseconds);
-            if ("kind" in slice) {
-                offset = offsetAfter(offset, slice);
+            const poll = polls[topic].signal;
+            const slice = offset === undefined
+                ? await feed.readAll(topic, poll)
+                // While the store is away nothing is worth a wait: the first answer shows that it is back.
+                : await feed.readNewer(topic, offset, isLost ? 0 : pollMilliseconds, poll);
+            if (slice.isErr()) {
+                // A call that was ended from here says nothing about the store.
+                if (!poll.aborted) {
+                    reportFailure(topic, slice.error);
+                }
+                offset = slice.error.kind === "truncated" ? undefined : offset;
+                await clock.sleep(poll.aborted ? 0 : retryPaceMilliseconds * (0.5 + random()), signal);
                 continue;
             }
+            reportContact();
             if (offset === undefined) {
-                sink.replace("operator", slice.records);
+                sink.replace(topic, slice.value.records);
             }
             else {
-                sink.apply(slice.records);
+                sink.apply(slice.value.records);
             }
-            offset = slice.nextOffset;
-            reads.operatorRead(offset);
+            offset = slice.value.nextOffset;
+            watch.haveRead(topic, offset);
         }
     };
 
-    const followUpstreams = async (): Promise<void> => {
-        let offset: number | undefined;
-        let changedBefore = 0;
+    /** The polls find out by themselves when the store is back. */
+    const probe = async (): Promise<void> => {
         while (!signal.aborted) {
-            const dueIn = reads.listDueIn();
-            if (offset !== undefined && !isLost && dueIn > 0) {
-                nap = new AbortController();
-                await clock.sleep(dueIn, AbortSignal.any([nap.signal, wakes.upstreams.signal]));
+            const dueIn = watch.probeDueIn();
+            const offsets = watch.news()?.offsets;
+            if (dueIn > 0 || isLost || offsets === undefined) {
+                await clock.sleep(Math.max(dueIn, idleProbeMilliseconds), signal);
                 continue;
             }
-            const slice = await readOn("upstreams", offset, 0);
-            if ("kind" in slice) {
-                offset = offsetAfter(offset, slice);
-                continue;
-            }
-            if (offset === undefined) {
-                sink.replace("upstreams", slice.records);
-                changedBefore = slice.nextOffset;
-            }
-            else {
-                const changed = sink.apply(slice.records);
-                changedBefore = changed > 0 ? offset + changed : changedBefore;
-            }
-            offset = slice.nextOffset;
-            reads.listRead(offset, changedBefore);
-            onListRead();
+            const answered = await feed.readNewer("upstreams", offsets.upstreams, 0, signal);
+            answered.match(
+                ({ records }) => {
+                    reportContact();
+                    if (records.length > 0) {
+                        checkLater("upstreams");
+                    }
+                },
+                failure => reportFailure("upstreams", failure),
+            );
         }
     };
 
-    const askAgainWhileBehind = async (): Promise<void> => {
-        isBehind = true;
-        await clock.sleep(behindMilliseconds, signal);
-        isBehind = false;
-        if (reads.isOperatorBehind()) {
-            log.belief("others have newer records of the operator", {});
-            wake("operator");
+    /** Lets the poll bring what it lacks by itself; one that doesn't is asked anew. */
+    const checkLater = (topic: FeedTopic): void => {
+        if (lagging.has(topic)) {
+            return;
         }
-    };
-
-    void followOperator();
-    void followUpstreams();
-    return {
-        newsHeard: () => {
-            if (reads.listDueIn() <= 0) {
-                nap.abort();
+        lagging.add(topic);
+        const lacked = watch.news()?.offsets[topic];
+        void clock.sleep(behindMilliseconds, signal).then(() => {
+            lagging.delete(topic);
+            if (watch.news()?.offsets[topic] === lacked) {
+                log.belief("poll brings nothing though others have more", { topic, offset: lacked });
+                askAnew(topic);
             }
-            if (reads.isOperatorBehind() && !isBehind) {
-                void askAgainWhileBehind();
-            }
-        },
+        });
     };
+
+    followedTopics.forEach(topic => void follow(topic));
+    void probe();
+    return { newsHeard: () => followedTopics.filter(watch.isBehind).forEach(checkLater) };
 };
--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -4,7 +4,6 @@
  * A configuration is never replaced by an older one. Upstreams whose entries lapsed while the store was away get a
  * moment after its return to enter themselves again before they are taken as gone.
  */
-import { isDeepStrictEqual } from "node:util";
 import type { IngressConfiguration, Upstream } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
 import type { FeedRecord, FeedSink, FeedTopic } from "./deploymentFeed.js";
@@ -47,14 +46,7 @@
         return true;
     };
 
-    /** Whether anything but the passing of time differs. */
-    const isNews = (known: KnownUpstream | undefined, upstream: Upstream): boolean => {
-        const { coldMilliseconds, ...rest } = upstream;
-        const { coldMilliseconds: coldBefore, goneAt, ...before } = known ?? { coldMilliseconds: 0, goneAt: 0 };
-        return goneAt !== undefined || coldMilliseconds > coldBefore || !isDeepStrictEqual(rest, before);
-    };
-
-    const putUpstream = (upstream: Upstream): boolean => {
+    const putUpstream = (upstream: Upstream): void => {
         const known = upstreams.get(upstream.id);
         upstreams.set(upstream.id, { ...upstream, goneAt: undefined });
         if (known === undefined || known.isDraining !== upstream.isDraining || known.bornAt !== upstream.bornAt) {
@@ -70,13 +62,12 @@
                 coldMilliseconds,
             });
         }
-        return isNews(known, upstream);
     };
 
-    const removeUpstream = (id: string, reason: string): boolean => {
+    const removeUpstream = (id: string, reason: string): void => {
         const known = upstreams.get(id);
         if (known === undefined) {
-            return false;
+            return;
         }
         const isInGrace = isStoreLost || clock.now() < graceUntil;
         if (isInGrace && !known.isDraining) {
@@ -91,12 +82,10 @@
             reason,
             keptFor: isInGrace ? lapseGraceMilliseconds : 0,
         });
-        return true;
     };
 
-    const setEvacuated = (availabilityZone: string, isOut: boolean): boolean => {
-        const isChange = evacuated.has(availabilityZone) !== isOut;
-        if (isChange) {
+    const setEvacuated = (availabilityZone: string, isOut: boolean): void => {
+        if (evacuated.has(availabilityZone) !== isOut) {
             if (isOut) {
                 evacuated.add(availabilityZone);
             }
@@ -105,27 +94,25 @@
             }
             log.belief(isOut ? "zone evacuated" : "zone returned", { zone: availabilityZone });
         }
-        return isChange;
     };
 
-    /** Each tells whether the record changed anything. */
-    const handlers: { [Kind in FeedRecord["kind"]]: (record: Extract<FeedRecord, { kind: Kind; }>) => boolean; } = {
-        "configuration": ({ configuration }) => offerConfiguration(configuration, "store"),
+    const handlers: { [Kind in FeedRecord["kind"]]: (record: Extract<FeedRecord, { kind: Kind; }>) => void; } = {
+        "configuration": ({ configuration }) => void offerConfiguration(configuration, "store"),
         "zone-evacuated": ({ availabilityZone }) => setEvacuated(availabilityZone, true),
         "zone-returned": ({ availabilityZone }) => setEvacuated(availabilityZone, false),
         "upstream": ({ upstream }) => putUpstream(upstream),
         "upstream-gone": ({ id }) => removeUpstream(id, "its entry was removed"),
         "unreadable": ({ key, reason }) => {
             log.belief("record ignored", { key, reason });
-            return removeUpstream(key, "its entry can't be read");
+            removeUpstream(key, "its entry can't be read");
         },
     };
 
-    const apply = (records: FeedRecord[]): number =>
-        records.reduce((changed, record, index) => {
-            const isChange = (handlers[record.kind] as (record: FeedRecord) => boolean)(record);
-            return isChange ? index + 1 : changed;
-        }, 0);
+    const apply = (records: FeedRecord[]): void => {
+        for (const record of records) {
+            (handlers[record.kind] as (record: FeedRecord) => void)(record);
+        }
+    };
 
     const replacers: Record<FeedTopic, (records: FeedRecord[]) => void> = {
         operator: records => {
--- a/src/coordination/ingress/newsSpread.ts
+++ b/src/coordination/ingress/newsSpread.ts
@@ -14,10 +14,9 @@
 /** News as they are when passed on `age` milliseconds after they came. */
 const aged = (news: EntryNews, age: number): EntryNews => {
     const { store } = news;
-    return store === undefined ? news : {
-        ...news,
-        store: { ...store, contactAge: store.contactAge + age, listAge: store.listAge + age },
-    };
+    return store === undefined
+        ? news
+        : { ...news, store: { ...store, contactAge: Math.round(store.contactAge + age) } };
 };
 
 export type NewsSpread = {
--- a/src/coordination/ingress/peerLoad.ts
+++ b/src/coordination/ingress/peerLoad.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from "../../state/types.js";
 import type { IngressLog } from "./ingressLog.js";
-import type { StoreNews } from "./sharedReads.js";
+import type { StoreNews } from "./storeWatch.js";
 
 /** What one entry says of itself. */
 export type EntryNews = {
--- a/src/protocol/entryNews.ts
+++ b/src/protocol/entryNews.ts
@@ -20,10 +20,7 @@
     limits: z.record(z.string(), z.number()),
     store: z.object({
         contactAge: z.number(),
-        operatorOffset: z.number(),
-        listAge: z.number(),
-        listEnd: z.number(),
-        listChangedBefore: z.number(),
+        offsets: z.object({ operator: z.number(), upstreams: z.number() }),
     }).optional(),
 });
 const messageSchema = z.object({ version: z.literal(version), from: z.string(), news: z.array(newsSchema) });
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -15,7 +15,7 @@
 import type { RequestHeads } from "../../coordination/ingress/requestHeads.js";
 import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
-import { createSharedReads } from "../../coordination/ingress/sharedReads.js";
+import { createStoreWatch } from "../../coordination/ingress/storeWatch.js";
 import { createStreamAdmission } from "../../coordination/ingress/streamAdmission.js";
 import { createStreamPlaces } from "../../coordination/ingress/streamPlaces.js";
 import { createStreamTask } from "../../coordination/ingress/streamTask.js";
@@ -102,12 +102,12 @@
     const runningByUpstream = (): Record<string, number> =>
         Object.fromEntries([...streamPlaces.running(), ...plainPlaces.running()].filter(([, count]) => count > 0));
 
-    const reads = createSharedReads(clock, () => peers.turnOf(config.host));
+    const storeWatch = createStoreWatch(clock, () => peers.turnOf(config.host));
     const follower = followDeployment({
         feed: platform.feed,
         sink: state,
-        reads,
-        onListRead: () => spread.tellNow(),
+        watch: storeWatch,
+        onContact: () => spread.tellNow(),
         clock,
         log,
         random: Math.random,
@@ -121,7 +121,7 @@
         members: platform.members,
         peers,
         onNews: heard => {
-            heard.forEach(({ store }) => store === undefined ? undefined : reads.hear(store));
+            heard.forEach(({ store }) => store === undefined ? undefined : storeWatch.hear(store));
             follower.newsHeard();
             admission.placeFreed();
         },
@@ -129,14 +129,14 @@
             incarnation,
             running: runningByUpstream(),
             limits: Object.fromEntries(streamPlaces.groups().map(({ group, limit }) => [group, limit])),
-            store: reads.news(),
+            store: storeWatch.news(),
         }),
         clock,
         log,
         signal,
     });
 
-    const isStale = (): boolean => clock.now() - (reads.lastContact() ?? -Infinity) > staleMilliseconds;
+    const isStale = (): boolean => clock.now() - (storeWatch.lastContact() ?? -Infinity) > staleMilliseconds;
 
     const handle = async ({ message, body, sink, callerGone, arrivedAt }: CallerRequest): Promise<void> => {
         const envelope = platform.heads.readEnvelope(message);
@@ -212,7 +212,7 @@
         host: config.host,
         availabilityZone: config.availabilityZone,
         configuration: state.routeTable()?.configuration.version,
-        storeReads: reads.news(),
+        store: storeWatch.news(),
         entries: peers.entries(),
         evacuatedZones: state.evacuatedZones(),
         upstreams: state.all(),
--- a/tests/ingress/manyEntries.test.ts
+++ b/tests/ingress/manyEntries.test.ts
@@ -121,7 +121,7 @@
     });
 
     it("come back out of their datagram as they went in, and other bytes don't", () => {
-        const store = { contactAge: 3, operatorOffset: 8, listAge: 40, listEnd: 900, listChangedBefore: 77 };
+        const store = { contactAge: 3, offsets: { operator: 8, upstreams: 900 } };
         const news = [newsOf({ running: { x: 3 }, limits: { g: 40.5 } }), newsOf({ host: "b", store })];
         const decoded = decodeNews(encodeNews({ from: "a", news }))._unsafeUnwrap();
         expect(decoded.from).to.equal("a");
