Explain a request's outcome from log files, and walk the three ways of the operations page in tests

Cause: the way from a failed request's id to its cause stood in docs only, by hand, and an answered plain request did not say which upstream had served it. A group with fewer than two slots could never start a stream, found by the first of the new tests: the limit began below one and only a running stream could raise it. Change: cyclamengap explain REQUEST LOG... prints the request's lines, what its entry believed then and one sentence on the cause; answered lines name the upstream; a limit begins within its bounds.

--- a/src/coordination/ingress/groupLimit.ts
+++ b/src/coordination/ingress/groupLimit.ts
@@ -51,7 +51,9 @@
 
 export const createGroupLimit = (options: GroupLimitOptions): GroupLimit => {
     const { clock, runningOverall, limitElsewhere, largestLimit } = options;
-    let limit = options.startLimit;
+    /** A group with hardly any slots is bounded by its ranks' slots alone. */
+    const bounded = (wanted: number): number => Math.max(smallestLimit, Math.min(largestLimit(), wanted));
+    let limit = bounded(options.startLimit);
     let running = 0;
     let mostRunning = 0;
     let pauses: number[] = [];
@@ -69,7 +71,7 @@
             }
         }
         limit += ((limitElsewhere() ?? limit) - limit) * leaning;
-        limit = Math.max(smallestLimit, Math.min(largestLimit(), limit));
+        limit = bounded(limit);
         pauses = [];
         mostRunning = runningOverall();
         windowStart = clock.now();
--- a/src/coordination/ingress/plainTask.ts
+++ b/src/coordination/ingress/plainTask.ts
@@ -63,13 +63,22 @@
         return answer.isErr() ? answer.error : judge(answer.value, envelope.requestId);
     };
 
-    const deliver = ({ sink, envelope, arrivedAt }: RequestContext, answer: UpstreamAnswer, body: Buffer[]): void => {
+    const deliver = (
+        { sink, envelope, arrivedAt }: RequestContext,
+        upstreamId: string,
+        answer: UpstreamAnswer,
+        body: Buffer[],
+    ): void => {
         sink.begin(answer.status, answer.fields);
         body.forEach(sink.write);
         sink.end();
         const took = clock.now() - arrivedAt;
         metrics.observe("ingress_plain_answer", took);
-        log.request(envelope.requestId, "answered", { status: answer.status, afterMilliseconds: Math.round(took) });
+        log.request(envelope.requestId, "answered", {
+            upstream: upstreamId,
+            status: answer.status,
+            afterMilliseconds: Math.round(took),
+        });
     };
 
     /** A sending counts against the budget once bytes of the one before may have arrived somewhere. */
@@ -83,7 +92,7 @@
     return async (context: RequestContext): Promise<void> => {
         const { route, service, envelope, signal } = context;
         const sendings = noSendings();
-        let lastFailure: Extract<Verdict, { kind: "failed"; }> | undefined;
+        let lastFailure: { verdict: Extract<Verdict, { kind: "failed"; }>; upstreamId: string; } | undefined;
         let lastReason = "no upstream takes work";
         let lastKind: LostSending["kind"] | undefined;
         retryBudget.recordRequest();
@@ -105,7 +114,7 @@
             }
             if (verdict.kind === "final") {
                 health.recordAnswer(upstream.id, took);
-                deliver(context, verdict.answer, verdict.body);
+                deliver(context, upstream.id, verdict.answer, verdict.body);
                 return;
             }
             const reason = verdict.kind === "failed" ? `status ${verdict.answer.status}` : verdict.reason;
@@ -121,14 +130,15 @@
             }
             lastReason = reason;
             lastKind = verdict.kind === "failed" ? "broken" : verdict.kind;
-            lastFailure = verdict.kind === "failed" ? verdict : lastFailure;
+            lastFailure = verdict.kind === "failed" ? { verdict, upstreamId: upstream.id } : lastFailure;
             sendings.mayHaveRun ||= verdict.kind === "broken" || verdict.kind === "failed";
             if (sendings.mayHaveRun && route.kind !== "idempotent") {
                 break;
             }
         }
         if (lastFailure !== undefined && !signal.aborted) {
-            deliver(context, lastFailure.answer, lastFailure.body);
+            const { verdict, upstreamId } = lastFailure;
+            deliver(context, upstreamId, verdict.answer, verdict.body);
         }
         else if (sendings.mayHaveRun || signal.aborted && sendings.reached.size > 0) {
             fail(context, shared, lostAnswerCode(context), { reason: lastReason, reached: [...sendings.reached] });
--- a/src/programs/cyclamengap.ts
+++ b/src/programs/cyclamengap.ts
@@ -7,6 +7,7 @@
  */
 import { defineCommand, runMain } from "citty";
 import { experts } from "./commands/experts.js";
+import { explain } from "./commands/explain.js";
 import { dump, log } from "./commands/inspect.js";
 import { quarantine } from "./commands/quarantine.js";
 import { settings } from "./commands/settings.js";
@@ -15,9 +16,9 @@
 const main = defineCommand({
     meta: {
         name: "cyclamengap",
-        description: "settings, availability zones, quarantine and the state of a deployment",
+        description: "settings, availability zones, quarantine, the state of a deployment and the causes of failures",
     },
-    subCommands: { settings, zone, quarantine, experts, dump, log },
+    subCommands: { settings, zone, quarantine, experts, dump, log, explain },
 });
 
 await runMain(main);
--- a/src/state/ingressTypes.ts
+++ b/src/state/ingressTypes.ts
@@ -104,3 +104,6 @@
     /** The event after which a stream is to go on; undefined for one from the start. */
     lastEventId: string | undefined;
 };
+
+/** A log line read back; `event`, `timestamp` (ISO 8601) and `host` are in each, the rest depends on the event. */
+export type LogLine = { event: string; timestamp: string; host: string; [field: string]: unknown; };
--- /dev/null
+++ b/tests/ingress/explanation.test.ts
@@ -0,0 +1,111 @@
+/**
+ * The three ways of docs/OPERATIONS.md from a failed request's id to its cause, walked over the stand-ins.
+ */
+import { expect } from "chai";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { explainRequest, type Explanation } from "../../src/coordination/ingress/explanation.js";
+import { readLogLines } from "../../src/protocol/logLines.js";
+import { type SealedServer, startSealedServer } from "../../src/standin/sealedServer.js";
+import { type PlatformDeployment, startPlatformDeployment } from "../support/platformDeployment.js";
+import { startProgram } from "../support/processes.js";
+
+describe("the way from a failed request's id to its cause", () => {
+    let deployment: PlatformDeployment;
+    let servers: SealedServer[];
+
+    beforeEach(async () => {
+        servers = [];
+        deployment = await startPlatformDeployment();
+    });
+
+    afterEach(async () => {
+        await deployment.stop();
+        await Promise.all(servers.map(server => server.close()));
+    });
+
+    const serve = async (id: string, service: string, fields: object = {}, options = {}): Promise<SealedServer> => {
+        const server = await startSealedServer(id, options);
+        servers.push(server);
+        deployment.list(server, service, fields);
+        await deployment.until(() => deployment.lines.some(line => line.event === "upstream listed" && line.id === id));
+        return server;
+    };
+
+    const explained = (requestId: string): Explanation =>
+        explainRequest(requestId, deployment.lines) ?? expect.fail(`nothing tells of ${requestId}`);
+
+    const seen = (lines: Explanation["context"], event: string, fields: Record<string, unknown>): void => {
+        const found = lines.filter(line => line.event === event);
+        const isThere = found.some(line => Object.entries(fields).every(([name, value]) => line[name] === value));
+        expect(isThere, `${event} with ${JSON.stringify(fields)} in ${JSON.stringify(found)}`).to.equal(true);
+    };
+
+    it("shows a refusal under load with the places that were taken", async () => {
+        const group = { name: "g", epoch: 1, rank: 0, state: "open" };
+        await serve("i-full", "model", { slots: 1, group }, { events: 400, eventMilliseconds: 5 });
+        const running = deployment.call("/talk/1", { method: "POST", tokens: "40,80", leaveAfter: 8_000 });
+        await deployment.until(() => deployment.lines.some(({ event }) => event === "sent"));
+        await deployment.call("/talk/2", { method: "POST", tokens: "40,80", requestId: "crowded" });
+        const { kind, request } = explained("crowded");
+        expect(kind).to.equal("load");
+        expect(request.at(-1)).to.deep.include({ event: "refused", code: "cannot-start-in-time" });
+        expect(request.at(-1)?.["groups"]).to.deep.include({ group: "g", limit: 4, running: 1, overall: 1 });
+        await running;
+    });
+
+    it("shows a lost answer with the server, the reason and what was known of the server", async () => {
+        const server = await serve("i-cutting", "catalogue");
+        server.failNext("cut");
+        await deployment.call("/book/1", { method: "POST", requestId: "cut-off" });
+        const { kind, request, context } = explained("cut-off");
+        expect(kind).to.equal("lost");
+        seen(request, "sending lost", { upstream: "i-cutting", kind: "broken" });
+        seen(request, "failed", { code: "interrupted" });
+        seen(context, "upstream listed", { id: "i-cutting", address: server.address });
+        seen(context, "configuration in force", { version: 1 });
+    });
+
+    it("shows what an entry believed of a server that should have had nothing", async () => {
+        const server = await serve("i-present", "catalogue");
+        deployment.list({ ...server, id: "i-former" }, "other");
+        await deployment.until(() => deployment.lines.some(({ id }) => id === "i-former"));
+        await deployment.call("/book/special/1", { method: "POST", requestId: "misled" });
+        const { kind, request, context } = explained("misled");
+        expect(kind).to.equal("listing");
+        seen(request, "sending lost", { upstream: "i-former", kind: "misdirected" });
+        seen(context, "upstream listed", { id: "i-former", address: server.address });
+        await deployment.call("/read/1", { requestId: "served" });
+        seen(explained("served").request, "answered", { upstream: "i-present" });
+    });
+
+    it("is printed from log files by the operators' program", async () => {
+        const server = await serve("i-cutting", "catalogue");
+        server.failNext("cut");
+        await deployment.call("/book/1", { method: "POST", requestId: "cut-off" });
+        const folder = mkdtempSync(join(tmpdir(), "explain-"));
+        const file = join(folder, "entry-1.log");
+        // A collector's prefix, and lines that are not ours.
+        const text = deployment.lines.map(line => `  12.5 entry-1 ${JSON.stringify(line)}`).join("\n");
+        writeFileSync(file, `Debugger attached.\n${text}\n{"event":`);
+        const run = async (...parameters: string[]) => {
+            const program = startProgram("cyclamengap", ["explain", ...parameters]);
+            return { status: await program.exited, output: program.output() };
+        };
+        const found = await run("cut-off", file);
+        expect(found.output).to.contain("cut-off: a sending may have run and could not be repeated");
+        expect(found.output).to.contain(`upstream="i-cutting"`);
+        expect(found.status).to.equal(0);
+        expect((await run("nobody", file)).status).to.equal(1);
+        expect((await run("cut-off", `${file}.missing`)).status).to.equal(2);
+        expect(readLogLines(`${text}\nnot ours`).skipped).to.equal(1);
+        rmSync(folder, { recursive: true });
+    });
+
+    it("says so when no line tells how a request ended", () => {
+        const line = { event: "sent", timestamp: "2026-01-01T00:00:00.000Z", host: "e", requestId: "r", upstream: "u" };
+        expect(explainRequest("r", [line])?.kind).to.equal("unknown");
+        expect(explainRequest("other", [line])).to.equal(undefined);
+    });
+});
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -10,6 +10,7 @@
 import { createDeploymentFeed } from "../../platform/storeRecords.js";
 import { type KeyedStore, startKeyedStore } from "../../src/standin/keyedStore.js";
 import type { SealedServer } from "../../src/standin/sealedServer.js";
+import type { LogLine } from "../../src/state/ingressTypes.js";
 import { type IngressDaemon, startIngress } from "../../src/transport/ingress/ingressDaemon.js";
 import type { Logger } from "../../src/transport/logger.js";
 
@@ -21,8 +22,6 @@
     isWhole: boolean;
 };
 
-export type LogLine = { event: string; } & Record<string, unknown>;
-
 export type PlatformDeployment = {
     store: KeyedStore;
     entry: IngressDaemon;
@@ -132,7 +131,8 @@
     const store = await startKeyedStore();
     const lifetime = new AbortController();
     const lines: LogLine[] = [];
-    const write = (event: string, fields: Record<string, unknown> = {}): void => void lines.push({ event, ...fields });
+    const write = (event: string, fields: Record<string, unknown> = {}): void =>
+        void lines.push({ event, host: "entry-1", timestamp: new Date().toISOString(), ...fields });
     const logger: Logger = { info: write, warn: write, error: write, debug: () => undefined };
     const client = createStoreClient(store.address, lifetime.signal);
     if (isConfigured) {
