Ask anew at once when a probe meets deleted records

Cause: read as a newcomer, a probe that was answered with deleted records logged it and probed again without a pause, while the poll that hung on a silent connection never heard of it.

--- a/src/coordination/ingress/deploymentFeed.ts
+++ b/src/coordination/ingress/deploymentFeed.ts
@@ -151,15 +151,19 @@
                 continue;
             }
             const answered = await feed.readNewer("upstreams", offsets.upstreams, 0, signal);
-            answered.match(
-                ({ records }) => {
-                    reportContact();
-                    if (records.length > 0) {
-                        checkLater("upstreams");
-                    }
-                },
-                failure => reportFailure("upstreams", failure),
-            );
+            if (answered.isOk()) {
+                reportContact();
+                if (answered.value.records.length > 0) {
+                    checkLater("upstreams");
+                }
+                continue;
+            }
+            reportFailure("upstreams", answered.error);
+            if (answered.error.kind === "truncated") {
+                // The poll waits for records that are deleted; it finds that out when it asks anew.
+                askAnew("upstreams");
+            }
+            await clock.sleep(retryPaceMilliseconds, signal);
         }
     };
 
--- a/src/transport/ingress/entryGossip.ts
+++ b/src/transport/ingress/entryGossip.ts
@@ -56,6 +56,9 @@
     socket.on("error", error => log.belief("datagram socket failed", { reason: error.message }));
 
     const send = (addresses: string[], told: EntryNews[]): void => {
+        if (signal.aborted) {
+            return;
+        }
         const message = encodeNews({ from: host, news: told });
         for (const address of addresses) {
             const [peerIp, peerPort] = address.split(":");
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -121,7 +121,7 @@
         members: platform.members,
         peers,
         onNews: heard => {
-            heard.forEach(({ store }) => store === undefined ? undefined : storeWatch.hear(store));
+            heard.flatMap(({ store }) => store ?? []).forEach(storeWatch.hear);
             follower.newsHeard();
             admission.placeFreed();
         },
--- a/tests/ingress/storeWatch.test.ts
+++ b/tests/ingress/storeWatch.test.ts
@@ -47,6 +47,8 @@
     turnAway: (entry: number) => void;
     /** Polls under way of the entry get no answer; new calls do. */
     silence: (entry: number) => void;
+    /** Deletes the records of the list; the newest of each key is still to be had. */
+    dropHistory: () => void;
     kill: (entry: number) => void;
     stop: () => void;
 };
@@ -61,6 +63,7 @@
     const away = new Set<number>();
     const silences = new Map<number, number>();
     let callsMade = 0;
+    let firstOffset = 0;
     const lives = Array.from({ length: entries }, () => new AbortController());
     lives.forEach(({ signal }) => setMaxListeners(0, signal));
     const states = lives.map(() => createDeploymentState(clock, log));
@@ -101,7 +104,14 @@
             const records = recordsOf(topic).slice(offset);
             return ok({ records, nextOffset: offset + records.length });
         };
-        return { readAll: (topic, signal) => read(topic, 0, 0, signal), readNewer: read };
+        return {
+            readAll: (topic, signal) => read(topic, 0, 0, signal),
+            readNewer: async (topic, offset, waitMilliseconds, signal) => {
+                const slice = await read(topic, offset, waitMilliseconds, signal);
+                const isDropped = topic === "upstreams" && offset < firstOffset;
+                return isDropped ? err({ kind: "truncated" as const, reason: "deleted" }) : slice;
+            },
+        };
     };
 
     lives.forEach(({ signal }, entry) => {
@@ -130,6 +140,9 @@
         watches,
         callsMade: () => callsMade,
         turnAway: entry => away.add(entry),
+        dropHistory: () => {
+            firstOffset = list.length;
+        },
         silence: entry => silences.set(entry, clock.now()),
         kill: entry => lives[entry]?.abort(),
         stop: () => {
@@ -178,6 +191,21 @@
         expect(await learnsWithin(fleet => [0, 3, 7].forEach(fleet.silence))).to.be.lessThan(1_000);
     });
 
+    it("show it also when the history is dropped while every poll hangs, at no more calls than two an entry", async () => {
+        let callsBefore = 0;
+        let fleet: Fleet | undefined;
+        const took = await learnsWithin(started => {
+            fleet = started;
+            [...started.states.keys()].forEach(started.silence);
+            callsBefore = started.callsMade();
+            started.append(upstream(2));
+            started.append(upstream(3));
+            void started.clock.sleep(1, AbortSignal.timeout(10_000)).then(started.dropHistory);
+        });
+        expect(took).to.be.lessThan(1_500);
+        expect((fleet?.callsMade() ?? Infinity) - callsBefore).to.be.at.most(2 * entries + 12);
+    });
+
     it("tell an entry that is turned away that it missed nothing", async () => {
         const fleet = startFleet(true);
         await fleet.clock.run(3_000);
