--- a/src/coordination/experts/rankSwitch.ts
+++ b/src/coordination/experts/rankSwitch.ts
@@ -135,20 +135,10 @@
         return !outcomes.includes("refused") && awaitPrepared(version, copyMilliseconds, signal);
     };
 
-    /** Releases the pass until the group has begun it. */
+    /** Releases the pass; also done where the engine refuses, as it holds none then. */
     const release = async (step: number, signal: AbortSignal): Promise<boolean> => {
         const [first] = members();
-        if (first === undefined) {
-            return false;
-        }
-        for (let tries = 0; tries < orderTries && !signal.aborted; tries += 1) {
-            const released = await engines.order(first, epoch, { kind: "release", step }, signal);
-            if (released.isOk()) {
-                return true;
-            }
-            await clock.sleep(retryMilliseconds, signal);
-        }
-        return false;
+        return first !== undefined && await order(first, { kind: "release", step }, signal) !== "unknown";
     };
 
     const armOthers = async (version: number, step: number, signal: AbortSignal): Promise<boolean> => {
--- a/src/coordination/ingress/explanation.ts
+++ b/src/coordination/ingress/explanation.ts
@@ -59,7 +59,6 @@
 
 const listingEvents = new Set(["upstream listed", "upstream unlisted", "upstream passed over"]);
 const stateEvents = new Set([
-    "configuration in force",
     "zone evacuated",
     "zone returned",
     "dependency lost",
@@ -81,8 +80,8 @@
     const end = Date.parse(last.timestamp);
     const upstreams = upstreamsOf(request);
     const groups = groupsOf(request);
-    const latestListing = new Map<unknown, LogLine>();
-    const latestConfiguration: LogLine[] = [];
+    /** The last line of each kind about each thing, however long ago. */
+    const latest = new Map<string, LogLine>();
     const context: LogLine[] = [];
     for (const line of byTime) {
         const at = Date.parse(line.timestamp);
@@ -91,10 +90,10 @@
         }
         const isOwn = line.host === first.host;
         if (isOwn && listingEvents.has(line.event) && upstreams.has(line["id"])) {
-            latestListing.set(`${line.event} ${String(line["id"])}`, line);
+            latest.set(`${line.event} ${String(line["id"])}`, line);
         }
         else if (isOwn && line.event === "configuration in force") {
-            latestConfiguration.splice(0, 1, line);
+            latest.set(line.event, line);
         }
         else if (at >= end - contextMilliseconds) {
             const isOfGroup = groupEvents.has(line.event) && (groups.size === 0 || groups.has(line["group"]));
@@ -104,7 +103,7 @@
         }
     }
     const [kind, verdict] = verdictOf(request);
-    const all = [...latestConfiguration, ...latestListing.values(), ...context];
+    const all = [...latest.values(), ...context];
     return {
         kind,
         verdict,
--- a/src/coordination/ingress/plainTask.ts
+++ b/src/coordination/ingress/plainTask.ts
@@ -10,6 +10,7 @@
     fail,
     lostAnswerCode,
     noSendings,
+    recordLostSending,
     type RequestContext,
     type Sendings,
     type SharedParts,
@@ -119,14 +120,8 @@
             }
             const reason = verdict.kind === "failed" ? `status ${verdict.answer.status}` : verdict.reason;
             if (!signal.aborted) {
-                health.recordFailure(upstream.id, isNotThere, reason);
-                metrics.count(`ingress_sendings_lost_total{kind="${verdict.kind}"}`);
-                log.request(envelope.requestId, "sending lost", {
-                    upstream: upstream.id,
-                    kind: verdict.kind,
-                    reason,
-                    afterMilliseconds: Math.round(took),
-                });
+                const lost = { kind: verdict.kind, reason, isNotThere, tookMilliseconds: took };
+                recordLostSending(shared, envelope.requestId, upstream.id, lost);
             }
             lastReason = reason;
             lastKind = verdict.kind === "failed" ? "broken" : verdict.kind;
--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -7,7 +7,7 @@
 import type { Metrics } from "../metrics.js";
 import type { RetryBudget } from "../retryBudget.js";
 import type { IngressLog } from "./ingressLog.js";
-import type { SendToUpstream } from "./upstreamCaller.js";
+import type { LostSending, SendToUpstream } from "./upstreamCaller.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
 /** The caller's side of one request; exactly one of `end`, `refuse` and `cut` closes it. */
@@ -64,6 +64,24 @@
 
 const millisecondsPerSecond = 1_000;
 
+/** Notes a sending that gave no usable answer; `isNotThere`: the upstream itself can't be reached. */
+export const recordLostSending = (
+    { health, metrics, log }: SharedParts,
+    requestId: string,
+    upstreamId: string,
+    lost: { kind: LostSending["kind"] | "failed"; reason: string; isNotThere: boolean; tookMilliseconds: number; },
+): void => {
+    const { kind, reason, isNotThere, tookMilliseconds } = lost;
+    health.recordFailure(upstreamId, isNotThere, reason);
+    metrics.count(`ingress_sendings_lost_total{kind="${kind}"}`);
+    log.request(requestId, "sending lost", {
+        upstream: upstreamId,
+        kind,
+        reason,
+        afterMilliseconds: Math.round(tookMilliseconds),
+    });
+};
+
 /** The code for a request that may have run and has no whole answer. */
 export const lostAnswerCode = ({ signal, callerGone }: RequestContext): ErrorCode =>
     signal.aborted && !callerGone.aborted ? "no-answer-in-time" : "interrupted";
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -10,6 +10,7 @@
     fail,
     lostAnswerCode,
     noSendings,
+    recordLostSending,
     type RequestContext,
     type Sendings,
     type SharedParts,
@@ -149,17 +150,15 @@
             health.recordAnswer(id, clock.now() - sentAt);
         }
         else if (!context.signal.aborted && ending.kind !== "other") {
-            health.recordFailure(id, isCertainLoss(ending), ending.reason);
-            if (ending.kind !== "misdirected") {
-                place.recordLoss(ending.reason);
-            }
-            metrics.count(`ingress_sendings_lost_total{kind="${ending.kind}"}`);
-            log.request(context.envelope.requestId, "sending lost", {
-                upstream: id,
+            recordLostSending(shared, context.envelope.requestId, id, {
                 kind: ending.kind,
                 reason: ending.reason,
-                afterMilliseconds: Math.round(clock.now() - sentAt),
+                isNotThere: isCertainLoss(ending),
+                tookMilliseconds: clock.now() - sentAt,
             });
+            if (ending.kind !== "misdirected") {
+                place.recordLoss(ending.reason);
+            }
         }
     };
 
--- a/src/protocol/countDeltas.ts
+++ b/src/protocol/countDeltas.ts
@@ -6,8 +6,9 @@
  * in more above, and deflated. A message that was lost is made up for by assuming that the counts grew in the passes
  * that it told of as they did in those of the next one.
  */
-import { err, ok, Result } from "neverthrow";
-import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { err, ok, type Result } from "neverthrow";
+import { deflateRawSync } from "node:zlib";
+import { inflateBounded } from "./deflated.js";
 
 /** Counts after pass `step`, as growth since pass `fromStep`; base64 of the deflated numbers. */
 export type CountDelta = { fromStep: number; step: number; growth: string; };
@@ -15,8 +16,6 @@
 const payloadBits = 7;
 const payloadMask = 0x7f;
 const moreFollows = 0x80;
-/** More than any group's counts need; a longer one is no message of ours. */
-const largestBytes = 1 << 20;
 
 const packNumbers = (numbers: number[]): string => {
     const bytes: number[] = [];
@@ -31,13 +30,8 @@
     return deflateRawSync(Uint8Array.from(bytes)).toString("base64");
 };
 
-const inflate = Result.fromThrowable(
-    (packed: string) => inflateRawSync(Buffer.from(packed, "base64"), { maxOutputLength: largestBytes }),
-    error => error instanceof Error ? error.message : String(error),
-);
-
 const unpackNumbers = (packed: string): Result<number[], string> =>
-    inflate(packed).andThen(bytes => {
+    inflateBounded(Buffer.from(packed, "base64")).andThen(bytes => {
         const numbers: number[] = [];
         let value = 0;
         let shift = 0;
--- a/src/protocol/entryNews.ts
+++ b/src/protocol/entryNews.ts
@@ -1,15 +1,14 @@
 /**
  * The datagram between entries: what its sender runs, and what it heard of others that it speaks for, deflated.
  */
-import { Result } from "neverthrow";
-import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type { Result } from "neverthrow";
+import { deflateRawSync } from "node:zlib";
 import { z } from "zod";
 import type { EntryNews } from "../coordination/ingress/peerLoad.js";
 import { decodeJsonAs, describeDecodingError } from "./decoding.js";
+import { inflateBounded } from "./deflated.js";
 
 const version = 2;
-/** A message beyond this is not of ours. */
-const largestBytes = 1 << 20;
 
 const newsSchema = z.object({
     host: z.string(),
@@ -27,15 +26,11 @@
 
 export type NewsMessage = { from: string; news: EntryNews[]; };
 
-const inflate = Result.fromThrowable(
-    (message: Buffer) => inflateRawSync(message, { maxOutputLength: largestBytes }).toString("utf8"),
-    error => error instanceof Error ? error.message : String(error),
-);
-
 export const encodeNews = (message: NewsMessage): Buffer => deflateRawSync(JSON.stringify({ version, ...message }));
 
 export const decodeNews = (message: Buffer): Result<NewsMessage, string> =>
-    inflate(message).andThen(text => decodeJsonAs(messageSchema, text).mapErr(describeDecodingError)) as Result<
-        NewsMessage,
-        string
-    >;
+    inflateBounded(message)
+        .andThen(text => decodeJsonAs(messageSchema, text.toString("utf8")).mapErr(describeDecodingError)) as Result<
+            NewsMessage,
+            string
+        >;
--- a/src/standin/httpServer.ts
+++ b/src/standin/httpServer.ts
@@ -5,6 +5,7 @@
 import { once } from "node:events";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { splitAddress } from "../transport/address.js";
 
 /** A hono application that reaches the connection below a request, to cut it or to write to it directly. */
 export type StandinApp = Hono<{ Bindings: HttpBindings; }>;
@@ -18,18 +19,12 @@
 
 export const newApp = (): StandinApp => new Hono<{ Bindings: HttpBindings; }>();
 
-/** Splits `ip:port`. */
-export const splitAddress = (address: string): { hostname: string; port: number; } => {
-    const colon = address.lastIndexOf(":");
-    return { hostname: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-};
-
 /** Serves `app` on `listen` (`ip:port`, port 0 for any free one) until `signal` aborts. */
 export const serveApp = async (app: StandinApp, listen: string, signal: AbortSignal): Promise<RunningServer> => {
-    const { hostname, port } = splitAddress(listen);
+    const { host, port } = splitAddress(listen);
     const server = createAdaptorServer({ fetch: app.fetch, overrideGlobalObjects: false }) as Server;
     server.keepAliveTimeout = 60_000;
-    server.listen(port, hostname);
+    server.listen(port, host);
     await once(server, "listening");
     const close = async () => {
         if (server.listening) {
@@ -40,7 +35,7 @@
         }
     };
     signal.addEventListener("abort", () => void close());
-    return { address: `${hostname}:${(server.address() as AddressInfo).port}`, close };
+    return { address: `${host}:${(server.address() as AddressInfo).port}`, close };
 };
 
 /** Cuts the connection of a request without an answer. */
--- a/src/standin/modelEngine.ts
+++ b/src/standin/modelEngine.ts
@@ -6,10 +6,11 @@
  */
 import { setMaxListeners } from "node:events";
 import type { Clock } from "../state/types.js";
+import { splitAddress } from "../transport/address.js";
 import { PrefixCache } from "./cacheEvents.js";
 import { EngineRank, type RankSettings } from "./engineRank.js";
 import { addEngineRoutes } from "./engineRoutes.js";
-import { newApp, type RunningServer, serveApp, splitAddress } from "./httpServer.js";
+import { newApp, type RunningServer, serveApp } from "./httpServer.js";
 import { LoadHistory } from "./loadHistory.js";
 import { mapOrderHandlers } from "./mapOrders.js";
 import { newOrderDesk, type OrderDesk, type OrderHandler } from "./orders.js";
@@ -176,13 +177,13 @@
     // Each rank's server and each of its sleeps listens to the one signal that stops the group.
     setMaxListeners(0, options.signal);
     const group = new EngineGroup(options);
-    const { hostname, port } = splitAddress(options.listen);
+    const { host, port } = splitAddress(options.listen);
     const servers: RunningServer[] = [];
     for (const seat of group.seats) {
         const app = newApp();
         addEngineRoutes(app, group, seat, options.clock);
         const rankPort = port === 0 ? 0 : port + seat.rank.rank;
-        servers.push(await serveApp(app, `${hostname}:${rankPort}`, options.signal));
+        servers.push(await serveApp(app, `${host}:${rankPort}`, options.signal));
     }
     void group.run();
     const close = async () => {
--- a/src/state/errors.ts
+++ b/src/state/errors.ts
@@ -75,3 +75,7 @@
         ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }),
     };
 };
+
+/** What a thrown value says; some errors, such as those of several failed connections, have a name only. */
+export const reasonOf = (error: unknown): string =>
+    error instanceof Error ? error.message || error.name : String(error);
--- /dev/null
+++ b/src/transport/address.ts
@@ -0,0 +1,9 @@
+/**
+ * Addresses of the form `ip:port`.
+ */
+
+/** Splits `ip:port`. */
+export const splitAddress = (address: string): { host: string; port: number; } => {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+};
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -14,6 +14,7 @@
 import { createMetrics } from "../../coordination/metrics.js";
 import type { RankConfig } from "../../protocol/ingressConfig.js";
 import type { Upstream, UpstreamService } from "../../state/ingressTypes.js";
+import { splitAddress } from "../address.js";
 import { startMetricsServer } from "../ingress/readinessServer.js";
 import type { Logger } from "../logger.js";
 import { steadyClock } from "../systemClock.js";
@@ -87,12 +88,17 @@
         return isNow;
     };
 
-    const agentOf = (upstream: Upstream): string => `${upstream.address.split(":")[0] ?? ""}:${gossipPort}`;
+    const agentOf = (upstream: Upstream): string => `${splitAddress(upstream.address).host}:${gossipPort}`;
+
+    const members = (): string[] | undefined => {
+        const known = ranks.flatMap(upstream => upstream?.address ?? []);
+        return known.length > 0 && known.length === ranks.length ? known : undefined;
+    };
 
     const followList = async (): Promise<void> => {
         let readAt = -Infinity;
         while (!signal.aborted) {
-            const isComplete = ranks.length > 0 && !ranks.includes(undefined) && service !== undefined;
+            const isComplete = members() !== undefined && service !== undefined;
             if (isComplete && (!wasActive || clock.now() - readAt < listMilliseconds)) {
                 await clock.sleep(listCheckMilliseconds, signal);
                 continue;
@@ -118,11 +124,6 @@
         }
     };
 
-    const members = (): string[] | undefined => {
-        const known = ranks.flatMap(upstream => upstream?.address ?? []);
-        return known.length > 0 && known.length === ranks.length ? known : undefined;
-    };
-
     const openCoordinator = (known: RankReport): void => {
         if (coordinator === undefined && service?.experts !== undefined) {
             const { rank, ranks: size } = known;
--- a/src/transport/experts/rankGossip.ts
+++ b/src/transport/experts/rankGossip.ts
@@ -3,7 +3,6 @@
  *
  * Counts are told as growth since the message before (see `countDeltas.ts`), so a lost datagram costs only resolution.
  */
-import { createSocket } from "node:dgram";
 import { z } from "zod";
 import type { RankNews } from "../../coordination/experts/groupCoordinator.js";
 import type { IngressLog } from "../../coordination/ingress/ingressLog.js";
@@ -14,6 +13,7 @@
     createCountsWriter,
 } from "../../protocol/countDeltas.js";
 import { decodeJsonAs, describeDecodingError } from "../../protocol/decoding.js";
+import { openDatagrams } from "../datagrams.js";
 
 const optionalNumber = z.number().optional();
 
@@ -52,17 +52,11 @@
 };
 
 export const startRankGossip = ({ ip, port, onBeacon, onNews, log, signal }: RankGossipOptions): RankGossip => {
-    const socket = createSocket("udp4");
     /** By agent that is told. */
     const writers = new Map<string, CountsWriter>();
     /** By engine that was told of. */
     const readers = new Map<string, CountsReader>();
-    let isOpen = true;
-    signal.addEventListener("abort", () => {
-        isOpen = false;
-        socket.close();
-    }, { once: true });
-    socket.on("error", error => log.belief("datagram socket failed", { reason: error.message }));
+
     const takeNews = ({ engine, counts, report }: z.infer<typeof newsSchema>, from: string): void => {
         const reader = readers.get(engine) ?? createCountsReader();
         readers.set(engine, reader);
@@ -71,35 +65,27 @@
             reason => log.belief("counts ignored", { from, engine, reason }),
         );
     };
-    socket.on("message", (message, { address, port: senderPort }) => {
+    const take = (message: Buffer, from: string): void =>
         decodeJsonAs(messageSchema, message.toString("utf8")).match(
             told => {
                 if (told.kind === "beacon") {
-                    onBeacon(told.group, told.rank, `${address}:${senderPort}`);
+                    onBeacon(told.group, told.rank, from);
                 }
                 else {
-                    takeNews(told as z.infer<typeof newsSchema>, address);
+                    takeNews(told as z.infer<typeof newsSchema>, from);
                 }
             },
-            error => log.belief("datagram ignored", { from: address, reason: describeDecodingError(error) }),
+            error => log.belief("datagram ignored", { from, reason: describeDecodingError(error) }),
         );
-    });
-    socket.bind(port, ip);
 
-    const send = (address: string, message: object): void => {
-        const [peerIp, peerPort] = address.split(":");
-        if (isOpen) {
-            // A message that can't be sent is like one that is lost.
-            socket.send(JSON.stringify(message), Number(peerPort), peerIp, () => undefined);
-        }
-    };
+    const send = openDatagrams({ ip, port, onMessage: take, log, signal });
     return {
-        sendBeacon: (addresses, group, rank) =>
-            addresses.forEach(address => send(address, { kind: "beacon", group, rank })),
+        sendBeacon: (addresses, group, rank) => send(addresses, JSON.stringify({ kind: "beacon", group, rank })),
         sendNews: (address, { report, engine, step, counts }) => {
             const writer = writers.get(address) ?? createCountsWriter();
             writers.set(address, writer);
-            send(address, { kind: "news", engine, report, counts: writer.write(report.epoch, step, counts) });
+            const news = { kind: "news", engine, report, counts: writer.write(report.epoch, step, counts) };
+            send([address], JSON.stringify(news));
         },
     };
 };
--- a/src/transport/groupPeers.ts
+++ b/src/transport/groupPeers.ts
@@ -9,6 +9,7 @@
 import type { PeerFailure, RankPeers } from "../coordination/mapParts.js";
 import { groupEndpoint } from "../protocol/controlPaths.js";
 import { type GroupContext, type GroupRouter, groupRouter } from "../protocol/groupRouter.js";
+import { reasonOf } from "../state/errors.js";
 import type { HostRecord } from "../state/types.js";
 import { boundSignal } from "./boundedSignal.js";
 import { requireToken } from "./daemonRoutes.js";
@@ -58,8 +59,7 @@
             return ok(await action(client, bounded.signal));
         }
         catch (error) {
-            const reason = error instanceof Error ? error.message : String(error);
-            return err({ kind: "unreachable", reason: `rank ${rank} at "${address}": ${reason}` });
+            return err({ kind: "unreachable", reason: `rank ${rank} at "${address}": ${reasonOf(error)}` });
         }
         finally {
             bounded.release();
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -11,6 +11,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { errorBody } from "../protocol/callerRequests.js";
 import { type ErrorCode, refusal } from "../state/errors.js";
+import { splitAddress } from "./address.js";
 
 /** Bindings that give handlers Node's own response, for streams that are written line by line. */
 export type NodeBindings = { Bindings: HttpBindings; };
@@ -67,7 +68,7 @@
     address: string,
     limits: ReceiveLimits = defaultReceiveLimits,
 ): Promise<Listener> => {
-    const [ip = "127.0.0.1", port = "0"] = address.split(":");
+    const { host, port } = splitAddress(address);
     const server = createAdaptorServer({
         fetch: application.fetch,
         serverOptions: {
@@ -82,7 +83,7 @@
     server.on("connection", (socket: Socket) => socket.setNoDelay(true));
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
-        server.listen(Number(port), ip, resolve);
+        server.listen(port, host, resolve);
     });
     const bound = server.address() as AddressInfo;
     return {
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -11,6 +11,7 @@
 import { errorBody } from "../../protocol/callerRequests.js";
 import { type Refusal, refusal } from "../../state/errors.js";
 import type { CallerLimits } from "../../state/ingressTypes.js";
+import { splitAddress } from "../address.js";
 import { answerClientError, peerGoneSignal } from "../httpServer.js";
 
 export type CallerRequest = {
@@ -152,10 +153,9 @@
     });
     server.on("clientError", answerClientError);
     server.on("connection", (socket: Socket) => socket.on("error", () => socket.destroy()));
-    const [ip, port] = address.split(":");
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
-        server.listen({ host: ip, port: Number(port), backlog }, resolve);
+        server.listen({ ...splitAddress(address), backlog }, resolve);
     });
     const bound = server.address() as AddressInfo;
     return {
--- a/src/transport/ingress/entryGossip.ts
+++ b/src/transport/ingress/entryGossip.ts
@@ -4,13 +4,13 @@
  * A datagram that is lost costs nothing, as the next one says it all again. Entries are found in the store's list; one
  * that is heard is remembered for good, so that entries which the store turns away still find each other.
  */
-import { createSocket } from "node:dgram";
 import type { IngressLog } from "../../coordination/ingress/ingressLog.js";
 import type { MemberList } from "../../coordination/ingress/memberList.js";
 import { type KnownEntry, type NewsSpread, startNewsSpread } from "../../coordination/ingress/newsSpread.js";
 import type { EntryNews, PeerLoad } from "../../coordination/ingress/peerLoad.js";
 import { decodeNews, encodeNews } from "../../protocol/entryNews.js";
 import type { Clock } from "../../state/types.js";
+import { openDatagrams } from "../datagrams.js";
 
 /** Entries that start tell all others by themselves; the list is for what was lost. */
 const listIntervalMilliseconds = 40_000;
@@ -33,39 +33,23 @@
 
 export const startEntryGossip = (options: EntryGossipOptions): NewsSpread => {
     const { host, availabilityZone, ip, port, members, peers, onNews, news, clock, log, signal } = options;
-    const socket = createSocket("udp4");
     const others = new Map<string, KnownEntry>();
     let sequence = 0;
 
-    socket.on("message", (message, { address, port: senderPort }) => {
+    const take = (message: Buffer, sender: string): void =>
         decodeNews(message).match(
             ({ from, news: told }) => {
                 const news = told.filter(entry => entry.host !== host);
                 for (const entry of news) {
                     if (entry.host === from) {
-                        const known = { host: from, availabilityZone: entry.availabilityZone };
-                        others.set(from, { ...known, address: `${address}:${senderPort}` });
+                        others.set(from, { host: from, availabilityZone: entry.availabilityZone, address: sender });
                     }
                     peers.take(entry, from);
                 }
                 onNews(news);
             },
-            reason => log.belief("datagram ignored", { from: address, reason }),
+            reason => log.belief("datagram ignored", { from: sender, reason }),
         );
-    });
-    socket.on("error", error => log.belief("datagram socket failed", { reason: error.message }));
-
-    const send = (addresses: string[], told: EntryNews[]): void => {
-        if (signal.aborted) {
-            return;
-        }
-        const message = encodeNews({ from: host, news: told });
-        for (const address of addresses) {
-            const [peerIp, peerPort] = address.split(":");
-            // A message that can't be sent is like one that is lost.
-            socket.send(message, Number(peerPort), peerIp, () => undefined);
-        }
-    };
 
     const ownNews = (): EntryNews => {
         sequence += 1;
@@ -93,8 +77,7 @@
         }
     };
 
-    socket.bind(port, ip);
-    signal.addEventListener("abort", () => socket.close(), { once: true });
+    const sendBytes = openDatagrams({ ip, port, onMessage: take, log, signal });
     void followList();
     return startNewsSpread({
         host,
@@ -102,7 +85,7 @@
         others: () => [...others.values()],
         peers,
         ownNews,
-        send,
+        send: (addresses, told) => sendBytes(addresses, encodeNews({ from: host, news: told })),
         clock,
         signal,
     });
--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -9,15 +9,11 @@
 import { connect, type Socket } from "node:net";
 import type { RequestHeads } from "../../coordination/ingress/requestHeads.js";
 import type { SendingFailure, SendToUpstream, UpstreamAnswer } from "../../coordination/ingress/upstreamCaller.js";
+import { splitAddress } from "../address.js";
 
 /** Ten times the way between zones and back; one lost packet shows as a failure here, and another upstream is tried. */
 const connectTimeoutMilliseconds = 150;
 
-const splitAddress = (address: string): { host: string; port: number; } => {
-    const [host = "", port = "0"] = address.split(":");
-    return { host, port: Number(port) };
-};
-
 const openConnection = (address: string, signal: AbortSignal): Promise<Result<Socket, SendingFailure>> =>
     new Promise(resolve => {
         const socket = connect({ ...splitAddress(address), noDelay: true });
--- a/src/transport/logClient.ts
+++ b/src/transport/logClient.ts
@@ -12,6 +12,7 @@
 import { z } from "zod";
 import type { AppendFailure, LogStream, ReadFailure } from "../coordination/logStream.js";
 import { decodeJsonAs, describeDecodingError } from "../protocol/decoding.js";
+import { reasonOf } from "../state/errors.js";
 import type { LogSlice } from "../state/types.js";
 import { boundSignal } from "./boundedSignal.js";
 import { isUnsent } from "./upstreamConnections.js";
@@ -30,8 +31,6 @@
 // Statuses with which the log says that it did not take the record.
 const isCertainRefusal = (status: number): boolean => status === 429 || status === 503 || status >= 400 && status < 500;
 
-const messageOf = (error: unknown): string => error instanceof Error ? error.message || error.name : String(error);
-
 export type LogClientOptions = {
     /** Base URL of the platform, `http://ip:port`. */
     platform: string;
@@ -93,7 +92,7 @@
         }
         catch (error) {
             const kind = isUnsent(error) ? "refused" : "unknown";
-            return err({ kind, reason: `log stream "${stream}": ${messageOf(error)}` });
+            return err({ kind, reason: `log stream "${stream}": ${reasonOf(error)}` });
         }
     };
 
@@ -118,7 +117,7 @@
                 .mapErr(error => ({ kind: "unavailable", reason: describeDecodingError(error) }));
         }
         catch (error) {
-            return err({ kind: "unavailable", reason: `log stream "${stream}": ${messageOf(error)}` });
+            return err({ kind: "unavailable", reason: `log stream "${stream}": ${reasonOf(error)}` });
         }
     };
 
--- a/src/transport/mapEngineClient.ts
+++ b/src/transport/mapEngineClient.ts
@@ -2,13 +2,13 @@
  * Orders about expert maps to the engine beside an agent, over HTTP.
  */
 import { err, ok, type Result } from "neverthrow";
-import { request } from "undici";
 import type { z } from "zod";
 import type { ExpertLoadReport } from "../coordination/expertLoad.js";
 import type { EngineOrderFailure, RankEngine } from "../coordination/mapParts.js";
+import { decodeJson, describeDecodingError } from "../protocol/decoding.js";
 import { expertLoadReportSchema, rankMapStatusSchema } from "../protocol/groupRecords.js";
 import type { RankMapStatus } from "../state/mapPromise.js";
-import { boundSignal } from "./boundedSignal.js";
+import { callWithin } from "./boundedCall.js";
 
 const timeoutMilliseconds = 1_000;
 /** Loading weights takes as long as the weight store needs. */
@@ -26,22 +26,12 @@
     timeout: number,
     signal: AbortSignal,
 ): Promise<Result<{ code: number; answer: unknown; }, EngineOrderFailure>> => {
-    const bounded = boundSignal(signal, timeout);
-    try {
-        const response = await request(url, {
-            method: body === undefined ? "GET" : "POST",
-            headers: { "content-type": "application/json" },
-            ...(body === undefined ? {} : { body: JSON.stringify(body) }),
-            signal: bounded.signal,
-        });
-        return ok({ code: response.statusCode, answer: await response.body.json() });
-    }
-    catch (error) {
-        return err(unreachable(error instanceof Error ? error.message : String(error)));
-    }
-    finally {
-        bounded.release();
-    }
+    const answered = await callWithin(url, body, timeout, signal);
+    return answered.mapErr(unreachable).andThen(({ status, text }) =>
+        decodeJson(text)
+            .map(answer => ({ code: status, answer }))
+            .mapErr(error => unreachable(describeDecodingError(error)))
+    );
 };
 
 const checked = <Schema extends z.ZodType>(
--- a/src/transport/operatorClient.ts
+++ b/src/transport/operatorClient.ts
@@ -8,12 +8,11 @@
 import type { ZoneOrder, ZoneState } from "../coordination/zoneOrders.js";
 import { operatorEndpoint } from "../protocol/controlPaths.js";
 import type { OperatorRouter } from "../protocol/operatorRouter.js";
+import { reasonOf } from "../state/errors.js";
 import { boundSignal } from "./boundedSignal.js";
 
 const timeoutMilliseconds = 5_000;
 
-const reasonOf = (error: unknown): string => error instanceof Error ? error.message || error.name : String(error);
-
 const bounded = async <Value>(
     signal: AbortSignal,
     call: (bound: AbortSignal) => Promise<Result<Value, string>>,
--- a/src/transport/peerClient.ts
+++ b/src/transport/peerClient.ts
@@ -6,6 +6,7 @@
 import type { PeerExchange } from "../coordination/relay.js";
 import { peerEndpoint } from "../protocol/controlPaths.js";
 import type { PeerRouter } from "../protocol/peerRouter.js";
+import { reasonOf } from "../state/errors.js";
 import { boundSignal } from "./boundedSignal.js";
 
 const timeoutMilliseconds = 2_000;
@@ -20,8 +21,7 @@
         return ok(await client.exchange.mutate(message, { signal: bounded.signal }));
     }
     catch (error) {
-        const reason = error instanceof Error ? error.message : String(error);
-        return err({ kind: "unreachable", reason: `peer "${address}": ${reason}` });
+        return err({ kind: "unreachable", reason: `peer "${address}": ${reasonOf(error)}` });
     }
     finally {
         bounded.release();
--- a/tests/ingress/deploymentState.test.ts
+++ b/tests/ingress/deploymentState.test.ts
@@ -2,20 +2,11 @@
 import { createDeploymentState } from "../../src/coordination/ingress/deploymentState.js";
 import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
 import type { IngressConfiguration, Upstream } from "../../src/state/ingressTypes.js";
+import { listedUpstream } from "../support/upstreams.js";
 import { virtualClock } from "../support/virtualClock.js";
 
-const upstream = (id: string, fields: Partial<Upstream> = {}): Upstream => ({
-    id,
-    service: "catalogue",
-    address: "10.0.0.1:80",
-    availabilityZone: "medina",
-    slots: 8,
-    isDraining: false,
-    coldMilliseconds: 0,
-    bornAt: 1,
-    group: undefined,
-    ...fields,
-});
+const upstream = (id: string, fields: Partial<Upstream> = {}): Upstream =>
+    listedUpstream({ id, service: "catalogue", ...fields });
 
 const configuration = (version: number): IngressConfiguration => ({
     version,
--- a/tests/ingress/overload.test.ts
+++ b/tests/ingress/overload.test.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../../src/state/types.js";
 import { seededRandom } from "../support/random.js";
 import { type SteppedClock, steppedClock } from "../support/steppedClock.js";
+import { listedUpstream } from "../support/upstreams.js";
 
 const ranks = 8;
 const slots = 8;
@@ -24,15 +25,7 @@
 const passMilliseconds = (streamsOfBusiestRank: number): number => 6 * (4.84 + 0.543 * streamsOfBusiestRank * 4.2);
 
 const upstreams: KnownUpstream[] = [...Array(ranks).keys()].map(rank => ({
-    id: `rank-${rank}`,
-    service: "model",
-    address: "10.0.0.1:1",
-    availabilityZone: "medina",
-    slots,
-    isDraining: false,
-    coldMilliseconds: 0,
-    bornAt: 1,
-    group: { name: "g", epoch: 1, rank, isOpen: true },
+    ...listedUpstream({ id: `rank-${rank}`, slots, group: { name: "g", epoch: 1, rank, isOpen: true } }),
     goneAt: undefined,
 }));
 
--- a/tests/ingress/storeWatch.test.ts
+++ b/tests/ingress/storeWatch.test.ts
@@ -14,28 +14,15 @@
 import { createDeploymentState, type DeploymentState } from "../../src/coordination/ingress/deploymentState.js";
 import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
 import { createStoreWatch, type StoreWatch } from "../../src/coordination/ingress/storeWatch.js";
-import type { Upstream } from "../../src/state/ingressTypes.js";
 import { type SteppedClock, steppedClock } from "../support/steppedClock.js";
+import { listedUpstream } from "../support/upstreams.js";
 
 const entries = 12;
 const callMilliseconds = 4;
 /** After this long an unanswered call is taken for lost, as by the store's client. */
 const answerTimeoutMilliseconds = 900;
 
-const upstream = (index: number): FeedRecord => ({
-    kind: "upstream",
-    upstream: {
-        id: `u${index}`,
-        service: "model",
-        address: `10.0.0.${index}:1`,
-        availabilityZone: "medina",
-        slots: 8,
-        isDraining: false,
-        coldMilliseconds: 0,
-        bornAt: 1,
-        group: undefined,
-    } satisfies Upstream,
-});
+const upstream = (index: number): FeedRecord => ({ kind: "upstream", upstream: listedUpstream({ id: `u${index}` }) });
 
 type Fleet = {
     clock: SteppedClock;
--- /dev/null
+++ b/tests/support/upstreams.ts
@@ -0,0 +1,17 @@
+/**
+ * An upstream as the platform's list tells of it, for tests that care about few of its fields.
+ */
+import type { Upstream } from "../../src/state/ingressTypes.js";
+
+export const listedUpstream = (fields: Partial<Upstream>): Upstream => ({
+    id: "u",
+    service: "model",
+    address: "10.0.0.1:1",
+    availabilityZone: "medina",
+    slots: 8,
+    isDraining: false,
+    coldMilliseconds: 0,
+    bornAt: 1,
+    group: undefined,
+    ...fields,
+});
