--- a/tests/atMostOnceProcesses.test.ts
+++ b/tests/atMostOnceProcesses.test.ts
@@ -169,7 +169,10 @@
         await postJson(`${service()}/_faults`, { answerDelayMilliseconds: 60_000 });
         const key = uuid();
         const first = send(0, key, 1_500);
-        await until(async () => await runsOf(key) === 1);
+        // An answer before the run would leave nothing to wait for; it tells why.
+        const early = first.then(answer => expect.fail(`answered before its run: ${JSON.stringify(answer)}`));
+        await Promise.race([until(async () => await runsOf(key) === 1), early]);
+        early.catch(() => undefined);
         const holder = agentNamed(await agentOf(isOf("claim", key)));
         await holder.program.kill();
         expect((await first).outcome).to.equal("unknown");
