Let few entries read the store for all, and never go back with it

Cause: each entry read all topics of the store for itself, so each change cost as many calls as there are entries, an entry that the store turned away learnt nothing, and while the store was down each of them tried again every 0.4 s. Every rank agent read the list and the configuration at its start, though only the coordinator uses them. A store that comes back from an older copy (Store-Era) was not noticed: offsets were compared alone, and what the copy lacked was taken for removed.

Change: one entry of each zone reads (storeReaders); the others read from it over tRPC on the port of the datagrams (sharedRecords, recordCache), fall back to another reader or the store when it dies, falls silent, hangs or is turned away, and tell each other whether the store serves them. While it serves nobody, calls take turns. Positions carry the store's era; after a rise records are merged by the run and revision of their server, forgotten ones are kept and passed to entries that start, and a second complete read after 5 s shows what has gone. Agents read the store only while they coordinate. A poll that was aborted is no longer taken for a complete read.

--- a/src/coordination/ingress/crashEvidenceSync.ts
+++ b/src/coordination/ingress/crashEvidenceSync.ts
@@ -9,16 +9,16 @@
 import type { Clock } from "../../state/types.js";
 import { createNotifier } from "../notifier.js";
 import type { CrashEvidenceTable } from "./crashEvidenceTable.js";
-import type { FeedFailure } from "./deploymentFeed.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { FeedFailure, FeedPosition } from "./recordSource.js";
 
-export type EvidenceBatch = { records: CrashEvidence[]; nextOffset: number; };
+export type EvidenceBatch = { records: CrashEvidence[]; next: FeedPosition; };
 
 export type CrashEvidenceStore = {
     /** The record of each entry. */
     readAll: (signal: AbortSignal) => Promise<Result<EvidenceBatch, FeedFailure>>;
-    /** The records written from `offset` on; if there are none, waits up to `waitMilliseconds` for the first. */
-    readNewer: (offset: number, waitMilliseconds: number, signal: AbortSignal) => Promise<
+    /** The records written from `from` on; if there are none, waits up to `waitMilliseconds` for the first. */
+    readNewer: (from: FeedPosition, waitMilliseconds: number, signal: AbortSignal) => Promise<
         Result<EvidenceBatch, FeedFailure>
     >;
     /** Replaces the record of the entry `host`. */
@@ -71,22 +71,28 @@
     let isWriteDue = false;
 
     const follow = async (): Promise<void> => {
-        let offset: number | undefined;
+        let position: FeedPosition | undefined;
+        let era: number | undefined;
         while (!signal.aborted) {
-            const batch = offset === undefined
+            const batch = position === undefined
                 ? await store.readAll(signal)
-                : await store.readNewer(offset, longPollMilliseconds, signal);
+                : await store.readNewer(position, longPollMilliseconds, signal);
             if (batch.isErr()) {
                 if (!signal.aborted) {
                     log.stateChange("crash reports read failed", { ...batch.error });
                 }
-                offset = batch.error.kind === "truncated" ? undefined : offset;
+                position = batch.error.kind === "truncated" ? undefined : position;
                 const retryMilliseconds = hasRead ? readRetryMilliseconds : firstReadRetryMilliseconds;
                 await clock.sleep(retryMilliseconds * (0.5 + random()), signal);
                 continue;
             }
             batch.value.records.forEach(table.merge);
-            offset = batch.value.nextOffset;
+            position = batch.value.next;
+            if (era !== undefined && era !== position.era) {
+                // The store came back from an older copy, which may lack the latest reports.
+                isWriteDue = true;
+            }
+            era = position.era;
             hasRead = true;
             notifier.notify(evidenceChanged);
             await clock.sleep(Math.max(pollPauseMilliseconds, entries() * pollPausePerEntryMilliseconds), signal);
--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -2,17 +2,21 @@
  * An entry's view of its deployment: the active configuration, evacuated zones and usable upstreams.
  *
  * A configuration is never replaced by an older one. Upstreams whose records expired while the store was unavailable
- * get a grace period after its return to register again before they count as gone.
+ * get a grace period after its return to register again before they count as gone. An upstream that says in a response
+ * that it is leaving gets nothing more until its next run, whatever the list says.
  */
 import type { IngressConfiguration, Upstream } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
-import type { FeedRecord, FeedSink, FeedTopic } from "./deploymentFeed.js";
+import type { DeploymentTopic, FeedRecord, FeedSink } from "./deploymentFeed.js";
 import type { IngressLog } from "./ingressLog.js";
 import { compileRouteTable, type RouteTable } from "./routeTable.js";
 
 /** Within this time after the store's return, live upstreams have registered again. */
 const relistGraceMilliseconds = 2_000;
 
+/** Upstreams that are remembered after their removal. */
+const maximumRemovedUpstreams = 1_000;
+
 export type KnownUpstream = Upstream & {
     /** Set if its record is missing since an outage of the store: when it counts as gone unless it registers again. */
     goneAt: number | undefined;
@@ -23,6 +27,13 @@
     routeTable: () => RouteTable | undefined;
     /** Activates a configuration from `source` unless an equally new or newer one is active; returns whether it did. */
     acceptConfiguration: (configuration: IngressConfiguration, source: string) => boolean;
+    /**
+     * Records that the run of an upstream that began at `bornAt` is leaving, as `source` tells. Ignored if the upstream
+     * is not listed or has started again since.
+     */
+    markLeaving: (id: string, bornAt: number, source: string) => void;
+    /** Leaving upstreams that the list does not show as draining yet, with the start times of those runs. */
+    leavingToGossip: () => Record<string, number>;
     /** Upstreams of `service` that may receive new requests. */
     usable: (service: string) => KnownUpstream[];
     all: () => KnownUpstream[];
@@ -33,6 +44,10 @@
     let table: RouteTable | undefined;
     const evacuatedZones = new Set<string>();
     const upstreams = new Map<string, KnownUpstream>();
+    /** The latest known record of each upstream that was removed; a store that came back may list it once more. */
+    const removed = new Map<string, Upstream>();
+    /** Start time of the run that is leaving, by upstream id. */
+    const leaving = new Map<string, number>();
     let graceUntil = 0;
     let isStoreUnavailable = false;
 
@@ -48,6 +63,10 @@
 
     const upsertUpstream = (upstream: Upstream): void => {
         const known = upstreams.get(upstream.id);
+        if (leaving.has(upstream.id) && leaving.get(upstream.id) !== upstream.bornAt) {
+            leaving.delete(upstream.id);
+        }
+        removed.delete(upstream.id);
         upstreams.set(upstream.id, { ...upstream, goneAt: undefined });
         if (known === undefined || known.isDraining !== upstream.isDraining || known.bornAt !== upstream.bornAt) {
             const { id, service, address, availabilityZone, isDraining, coldMilliseconds } = upstream;
@@ -64,6 +83,14 @@
         }
     };
 
+    const remember = (upstream: Upstream): void => {
+        removed.set(upstream.id, upstream);
+        const [oldest] = removed.keys();
+        if (removed.size > maximumRemovedUpstreams && oldest !== undefined) {
+            removed.delete(oldest);
+        }
+    };
+
     const removeUpstream = (id: string, reason: string): void => {
         const known = upstreams.get(id);
         if (known === undefined) {
@@ -75,6 +102,8 @@
         }
         else {
             upstreams.delete(id);
+            leaving.delete(id);
+            remember(known);
         }
         log.stateChange("upstream unlisted", {
             id,
@@ -114,7 +143,7 @@
         }
     };
 
-    const removeUnlisted: Record<FeedTopic, (records: FeedRecord[]) => void> = {
+    const removeUnlisted: Record<DeploymentTopic, (records: FeedRecord[]) => void> = {
         operator: records => {
             const listed = new Set(
                 records.flatMap(record => record.kind === "zone-evacuated" ? record.availabilityZone : []),
@@ -127,8 +156,36 @@
         },
     };
 
-    const isUsable = ({ isDraining, goneAt, availabilityZone }: KnownUpstream): boolean =>
-        !isDraining && !evacuatedZones.has(availabilityZone)
+    /** Whether a record was written before what is known of its upstream. */
+    const isOutdated = ({ id, bornAt, revision }: Upstream): boolean => {
+        const known = upstreams.get(id) ?? removed.get(id);
+        return known !== undefined
+            && (bornAt < known.bornAt || bornAt === known.bornAt && revision < known.revision
+                || bornAt === known.bornAt && revision === known.revision && !upstreams.has(id));
+    };
+
+    const restoreTopic: Record<DeploymentTopic, (records: FeedRecord[]) => void> = {
+        // Zones that are known to be evacuated stay so, and those known to be in use, until the operator writes again.
+        operator: records =>
+            apply(records.filter(record => record.kind !== "zone-evacuated" && record.kind !== "zone-returned")),
+        upstreams: records => {
+            apply(records.filter(record => record.kind !== "upstream" || !isOutdated(record.upstream)));
+            const listed = new Set(records.flatMap(record => record.kind === "upstream" ? record.upstream.id : []));
+            const goneAt = clock.now() + relistGraceMilliseconds;
+            [...upstreams.values()].filter(({ id }) => !listed.has(id)).forEach(upstream => {
+                upstreams.set(upstream.id, { ...upstream, goneAt: upstream.goneAt ?? goneAt });
+                log.stateChange("upstream unlisted", {
+                    id: upstream.id,
+                    service: upstream.service,
+                    reason: "the store came back from an older copy",
+                    keptFor: relistGraceMilliseconds,
+                });
+            });
+        },
+    };
+
+    const isUsable = ({ id, isDraining, goneAt, availabilityZone }: KnownUpstream): boolean =>
+        !isDraining && !leaving.has(id) && !evacuatedZones.has(availabilityZone)
         && (goneAt === undefined || isStoreUnavailable || clock.now() < goneAt);
 
     return {
@@ -136,7 +193,18 @@
             removeUnlisted[topic](records);
             apply(records);
         },
+        restore: (topic, records) => restoreTopic[topic](records),
         apply,
+        markLeaving: (id, bornAt, source) => {
+            const known = upstreams.get(id);
+            if (known === undefined || known.bornAt !== bornAt || leaving.has(id)) {
+                return;
+            }
+            leaving.set(id, bornAt);
+            log.stateChange("upstream leaving", { id, service: known.service, source, isDraining: known.isDraining });
+        },
+        leavingToGossip: () =>
+            Object.fromEntries([...leaving].filter(([id]) => upstreams.get(id)?.isDraining === false)),
         markStoreUnavailable: () => {
             isStoreUnavailable = true;
         },
--- a/src/coordination/ingress/gossipSchedule.ts
+++ b/src/coordination/ingress/gossipSchedule.ts
@@ -47,6 +47,10 @@
 /** Four messages in a row; after that the next entry of the zone becomes a relay. */
 const relaySilenceMilliseconds = 450;
 
+/** Interval of an entry's messages to the `peers` others of its zone. */
+export const zoneIntervalMilliseconds = (peers: number): number =>
+    Math.max(shortestIntervalMilliseconds, peers * intervalPerZonePeerMilliseconds);
+
 export const startGossipSchedule = (options: GossipScheduleOptions): GossipSchedule => {
     const { host, availabilityZone, others, peerStatuses, ownStatus, send, clock, signal } = options;
 
@@ -67,11 +71,7 @@
         while (!signal.aborted) {
             const known = zonePeers();
             send(addressesOf(known), [ownStatus()]);
-            const intervalMilliseconds = Math.max(
-                shortestIntervalMilliseconds,
-                known.length * intervalPerZonePeerMilliseconds,
-            );
-            await clock.sleep(intervalMilliseconds, signal);
+            await clock.sleep(zoneIntervalMilliseconds(known.length), signal);
         }
     };
 
--- a/src/coordination/ingress/peerStatusTable.ts
+++ b/src/coordination/ingress/peerStatusTable.ts
@@ -23,6 +23,12 @@
     limits: Record<string, number>;
     /** Undefined until it has read both topics of the store once. */
     store: StoreReadStatus | undefined;
+    /** Whether the store answered its latest call; true before the first. */
+    isServed: boolean;
+    /** Whether other entries can read all followed topics from it. */
+    hasRead: boolean;
+    /** Upstreams whose responses said that they are leaving, with the start times of those runs. */
+    leaving: Record<string, number>;
     /** Undefined if there is none. */
     crashEvidence: CrashEvidence | undefined;
 };
@@ -40,6 +46,8 @@
     entries: () => number;
     /** The highest number of entries that were live at once, including this one. */
     maximumEntriesSeen: () => number;
+    /** The latest status of each live entry, and the milliseconds since it was received. */
+    live: () => { status: EntryStatus; age: number; }[];
     /** The latest status of each live entry of a zone, and the milliseconds since it was received. */
     statusesInZone: (availabilityZone: string) => { status: EntryStatus; age: number; }[];
     /** Zero-based position of this entry, `host`, among the live entries ordered by host name. */
@@ -90,7 +98,11 @@
         return runningByUpstream;
     };
 
+    const live = (): { status: EntryStatus; age: number; }[] =>
+        freshStatuses().map(({ status, receivedAt }) => ({ status, age: clock.now() - receivedAt }));
+
     return {
+        live,
         record: (status, sender) => {
             const known = received.get(status.host);
             if (known === undefined) {
@@ -118,11 +130,6 @@
         entries: () => freshStatuses().length + 1,
         orderOf: host => freshStatuses().filter(({ status }) => status.host < host).length,
         maximumEntriesSeen: () => maximumPeersSeen + 1,
-        statusesInZone: availabilityZone =>
-            freshStatuses().filter(({ status }) => status.availabilityZone === availabilityZone)
-                .map(({ status, receivedAt }) => ({
-                    status,
-                    age: clock.now() - receivedAt,
-                })),
+        statusesInZone: availabilityZone => live().filter(({ status }) => status.availabilityZone === availabilityZone),
     };
 };
--- /dev/null
+++ b/src/coordination/ingress/recordPeers.ts
@@ -0,0 +1,72 @@
+/**
+ * The other entries as sources of records: which of them are live, what they say of the store, and where to read from
+ * them.
+ */
+import type { Clock } from "../../state/types.js";
+import { type PeerEntry, zoneIntervalMilliseconds } from "./gossipSchedule.js";
+import type { EntryStatus, PeerStatusTable } from "./peerStatusTable.js";
+import type { RecordSource } from "./recordSource.js";
+import type { RecordPeers } from "./sharedRecords.js";
+
+export type RecordPeersOptions = {
+    availabilityZone: string;
+    /** All other known entries by host name. */
+    knownEntries: ReadonlyMap<string, PeerEntry>;
+    peerStatuses: Pick<PeerStatusTable, "live">;
+    /** Reads from the entry at an address. */
+    createSource: (address: string) => RecordSource;
+    clock: Pick<Clock, "now">;
+};
+
+/** An entry of the own zone counts as silent after this many of its regular messages are missing. */
+const missedMessages = 3;
+const minimumSilenceMilliseconds = 600;
+
+export const createRecordPeers = (options: RecordPeersOptions): RecordPeers => {
+    const { availabilityZone, knownEntries, peerStatuses, createSource, clock } = options;
+    const sources = new Map<string, RecordSource>();
+
+    const sourceAt = (address: string): RecordSource => {
+        const known = sources.get(address) ?? createSource(address);
+        sources.set(address, known);
+        return known;
+    };
+
+    const isOwnZone = (entry: { availabilityZone: string; }): boolean => entry.availabilityZone === availabilityZone;
+
+    const silenceMilliseconds = (): number => {
+        const zonePeers = [...knownEntries.values()].filter(isOwnZone).length;
+        return Math.max(minimumSilenceMilliseconds, missedMessages * zoneIntervalMilliseconds(zonePeers));
+    };
+
+    /** Entries of other zones are heard less often, and silent ones leave the table by themselves. */
+    const audible = (): { status: EntryStatus; age: number; }[] => {
+        const limit = silenceMilliseconds();
+        return peerStatuses.live().filter(({ status, age }) =>
+            knownEntries.has(status.host) && (!isOwnZone(status) || age < limit)
+        );
+    };
+
+    return {
+        candidates: () =>
+            audible().map(({ status }) => ({
+                host: status.host,
+                availabilityZone: status.availabilityZone,
+                isServed: status.isServed,
+                hasRead: status.hasRead && status.store !== undefined,
+            })),
+        unheard: () => {
+            const heard = new Set(peerStatuses.live().map(({ status }) => status.host));
+            return [...knownEntries.values()].filter(({ host }) => !heard.has(host));
+        },
+        sourceOf: host => sourceAt(knownEntries.get(host)?.address ?? ""),
+        latestStoreContact: () =>
+            peerStatuses.live().reduce(
+                (latest, { status, age }) =>
+                    status.store === undefined
+                        ? latest
+                        : Math.max(latest, clock.now() - age - status.store.contactAge),
+                -Infinity,
+            ),
+    };
+};
--- /dev/null
+++ b/src/coordination/ingress/recordSource.ts
@@ -0,0 +1,58 @@
+/**
+ * Topics of the platform's store that entries follow, and the interface by which they are read: from the store itself
+ * or from another entry (see `sharedRecords.ts`).
+ *
+ * A topic holds the newest record of each key. Values are opaque here; the platform's adapter decodes them.
+ */
+import type { Result } from "neverthrow";
+
+/**
+ * `operator`: the configuration and evacuated zones; `upstreams`: the list of servers; `entries`: the list of entries;
+ * `crashes`: the entries' reports of crashes.
+ */
+export type FeedTopic = "operator" | "upstreams" | "entries" | "crashes";
+
+export const feedTopics: readonly FeedTopic[] = ["operator", "upstreams", "entries", "crashes"];
+
+/**
+ * A place in a topic, before the record with that offset.
+ *
+ * The store's era rises each time it comes back from an older copy of its data. It then assigns the offsets after that
+ * copy again, so offsets of different eras can't be compared.
+ */
+export type FeedPosition = { era: number; offset: number; };
+
+/** Negative if `left` comes before `right`. */
+export const comparePositions = (left: FeedPosition, right: FeedPosition): number =>
+    left.era === right.era ? left.offset - right.offset : left.era - right.era;
+
+/** An empty value removes the key. */
+export type StoredRecord = { key: string; value: Buffer; offset: number; };
+
+export type RecordBatch = {
+    records: StoredRecord[];
+    next: FeedPosition;
+    /**
+     * Records of earlier eras that the store has forgotten and whose keys have not been written since; only in complete
+     * reads from another entry.
+     */
+    forgotten?: StoredRecord[];
+};
+
+/**
+ * `truncated`: the topic can't be read on from that position, since its records were deleted or belong to an earlier
+ * era; it must be read again as a whole.
+ */
+export type FeedFailure = { kind: "truncated" | "unavailable"; reason: string; };
+
+export type RecordSource = {
+    /** The newest record of each key. */
+    readAll: (topic: FeedTopic, signal: AbortSignal) => Promise<Result<RecordBatch, FeedFailure>>;
+    /** All records from `from` on; if there are none, waits up to `waitMilliseconds` for the first. */
+    readNewer: (
+        topic: FeedTopic,
+        from: FeedPosition,
+        waitMilliseconds: number,
+        signal: AbortSignal,
+    ) => Promise<Result<RecordBatch, FeedFailure>>;
+};
--- a/src/coordination/ingress/storeMonitor.ts
+++ b/src/coordination/ingress/storeMonitor.ts
@@ -5,30 +5,33 @@
  * hangs on a dead connection, without each probing the store all the time. Entries therefore tell each other when the
  * store last responded to them and up to which offset they have read. While the store responds to an entry that has
  * read no further than this one, this one has missed nothing and makes no call. If no such report arrives for a while,
- * the entries probe the store one after the other, in the order of their host names, so that the first probe spares the
- * rest. An entry that has read less than another restarts its poll. Entries exchange only this status, never records.
+ * the entries probe the store one after the other, those that read for their zones first, so that one probe spares the
+ * rest. An entry that has read less than another restarts its poll.
  */
 import type { Clock } from "../../state/types.js";
-import type { FeedTopic } from "./deploymentFeed.js";
+import { type DeploymentTopic, deploymentTopics } from "./deploymentFeed.js";
+import { comparePositions, type FeedPosition } from "./recordSource.js";
 
 /** What an entry reports about its reads from the store. */
 export type StoreReadStatus = {
     /** Milliseconds since the store last responded to it. */
     contactAge: number;
-    /** By topic, the offset after the last record that it has read. */
-    offsets: Record<FeedTopic, number>;
+    /** By topic, the position after the last record that it has read. */
+    positions: Record<DeploymentTopic, FeedPosition>;
 };
 
 export type StoreMonitor = {
     /** Records a response of the store to this entry. */
     recordContact: () => void;
-    /** Records that this entry has read all records of the topic before `nextOffset`. */
-    recordRead: (topic: FeedTopic, nextOffset: number) => void;
+    /** Records that this entry has read all records of the topic before `next`. */
+    recordRead: (topic: DeploymentTopic, next: FeedPosition) => void;
     recordPeerStatus: (status: StoreReadStatus) => void;
     /** Time until this entry should probe the store; zero or negative if it is due. */
     millisecondsUntilProbe: () => number;
     /** Whether another entry has read records of the topic that this one has not. */
-    isBehind: (topic: FeedTopic) => boolean;
+    isBehind: (topic: DeploymentTopic) => boolean;
+    /** Whether another entry has read records of a later era of the store. */
+    isInOlderEra: (topic: DeploymentTopic) => boolean;
     /** When the store last responded to this entry, or to one that has read no further than this one. */
     lastContact: () => number | undefined;
     /** The status to report to other entries; undefined until both topics have been read once. */
@@ -39,30 +42,38 @@
 const probeAfterMilliseconds = 750;
 /** The result of a probe reaches the other entries within a few milliseconds, or 0.1 s if a datagram is lost. */
 const probeStaggerMilliseconds = 60;
-/** Entries further back in the order probe at the same time as the entry at this position. */
-const maximumProbeOrder = 6;
+/** Entries with later turns probe together with this one, by when several probes in a row have found no answer. */
+const maximumProbeOrder = 20;
 
-/** `probeOrder` gives this entry's zero-based position among the live entries, ordered by host name. */
+/** Reported by an entry that has read everything from other entries. */
+const unknownContactAge = 1_000_000_000;
+
+/** `probeOrder` gives this entry's zero-based turn among the live entries. */
 export const createStoreMonitor = (clock: Pick<Clock, "now">, probeOrder: () => number): StoreMonitor => {
-    const ownOffsets = new Map<FeedTopic, number>();
-    const peerOffsets = new Map<FeedTopic, number>();
+    const ownPositions = new Map<DeploymentTopic, FeedPosition>();
+    const peerPositions = new Map<DeploymentTopic, FeedPosition>();
     let ownContactAt: number | undefined;
     let lastContact: number | undefined;
 
-    const isBehind = (topic: FeedTopic): boolean => (peerOffsets.get(topic) ?? 0) > (ownOffsets.get(topic) ?? Infinity);
-    const isAhead = ({ operator, upstreams }: StoreReadStatus["offsets"]): boolean =>
-        operator > (ownOffsets.get("operator") ?? -1) || upstreams > (ownOffsets.get("upstreams") ?? -1);
+    const isNewer = (position: FeedPosition | undefined, reference: FeedPosition | undefined): boolean =>
+        position !== undefined && (reference === undefined || comparePositions(position, reference) > 0);
+
+    const isBehind = (topic: DeploymentTopic): boolean =>
+        ownPositions.has(topic) && isNewer(peerPositions.get(topic), ownPositions.get(topic));
 
     return {
         recordContact: () => {
             ownContactAt = clock.now();
             lastContact = ownContactAt;
         },
-        recordRead: (topic, nextOffset) => void ownOffsets.set(topic, nextOffset),
-        recordPeerStatus: ({ contactAge, offsets }) => {
-            peerOffsets.set("operator", Math.max(peerOffsets.get("operator") ?? 0, offsets.operator));
-            peerOffsets.set("upstreams", Math.max(peerOffsets.get("upstreams") ?? 0, offsets.upstreams));
-            if (!isAhead(offsets)) {
+        recordRead: (topic, next) => void ownPositions.set(topic, next),
+        recordPeerStatus: ({ contactAge, positions }) => {
+            for (const topic of deploymentTopics) {
+                if (isNewer(positions[topic], peerPositions.get(topic))) {
+                    peerPositions.set(topic, positions[topic]);
+                }
+            }
+            if (!deploymentTopics.some(topic => isNewer(positions[topic], ownPositions.get(topic)))) {
                 lastContact = Math.max(lastContact ?? -Infinity, clock.now() - contactAge);
             }
         },
@@ -71,13 +82,16 @@
             + Math.min(probeOrder(), maximumProbeOrder) * probeStaggerMilliseconds
             - clock.now(),
         isBehind,
+        isInOlderEra: topic => (peerPositions.get(topic)?.era ?? 0) > (ownPositions.get(topic)?.era ?? Infinity),
         lastContact: () => lastContact,
         readStatus: () => {
-            const operator = ownOffsets.get("operator");
-            const upstreams = ownOffsets.get("upstreams");
-            return ownContactAt === undefined || operator === undefined || upstreams === undefined
-                ? undefined
-                : { contactAge: Math.round(clock.now() - ownContactAt), offsets: { operator, upstreams } };
+            const operator = ownPositions.get("operator");
+            const upstreams = ownPositions.get("upstreams");
+            if (operator === undefined || upstreams === undefined) {
+                return undefined;
+            }
+            const contactAge = ownContactAt === undefined ? unknownContactAge : Math.round(clock.now() - ownContactAt);
+            return { contactAge, positions: { operator, upstreams } };
         },
     };
 };
--- a/src/programs/ingress.ts
+++ b/src/programs/ingress.ts
@@ -7,9 +7,11 @@
 import { platformEngines } from "../../platform/engineClient.js";
 import { createMemberList } from "../../platform/memberRecords.js";
 import { configurationFileVariable, paths } from "../../platform/names.js";
+import { createRecordSource } from "../../platform/recordSource.js";
 import { platformHeaderAdapter } from "../../platform/requestHeaders.js";
 import { createStoreClient } from "../../platform/storeClient.js";
-import { createDeploymentFeed } from "../../platform/storeRecords.js";
+import { decodeDeploymentRecord } from "../../platform/storeRecords.js";
+import type { RecordSource } from "../coordination/ingress/recordSource.js";
 import { ingressConfigSchema } from "../protocol/ingressConfig.js";
 import { startIngress } from "../transport/ingress/ingressDaemon.js";
 import { createLogger } from "../transport/logger.js";
@@ -34,9 +36,10 @@
         const store = createStoreClient(config.store.address, lifetime.signal);
         const adapter = {
             headerAdapter: platformHeaderAdapter,
-            feed: createDeploymentFeed(store),
-            crashes: createCrashEvidenceStore(store),
-            members: createMemberList(store),
+            records: createRecordSource(store),
+            decode: decodeDeploymentRecord,
+            createMemberList: (source: RecordSource) => createMemberList(store, source),
+            createCrashEvidenceStore: (source: RecordSource) => createCrashEvidenceStore(store, source),
             engines: platformEngines,
             readinessPath: paths.readiness,
         };
--- a/src/programs/rank.ts
+++ b/src/programs/rank.ts
@@ -5,8 +5,9 @@
 import { defineCommand, runMain } from "citty";
 import { platformEngines } from "../../platform/engineClient.js";
 import { configurationFileVariable } from "../../platform/names.js";
+import { createRecordSource } from "../../platform/recordSource.js";
 import { createStoreClient } from "../../platform/storeClient.js";
-import { createDeploymentFeed } from "../../platform/storeRecords.js";
+import { decodeDeploymentRecord } from "../../platform/storeRecords.js";
 import { rankConfigSchema } from "../protocol/ingressConfig.js";
 import { startRankDaemon } from "../transport/experts/rankDaemon.js";
 import { createLogger } from "../transport/logger.js";
@@ -29,7 +30,7 @@
         logger.info("starting", { engine: config.engine, store: config.store.address });
         await startRankDaemon(
             config,
-            { feed: createDeploymentFeed(store), engines: platformEngines },
+            { records: createRecordSource(store), decode: decodeDeploymentRecord, engines: platformEngines },
             logger,
             lifetime.signal,
         );
--- a/src/protocol/entryGossipMessages.ts
+++ b/src/protocol/entryGossipMessages.ts
@@ -5,6 +5,7 @@
 import type { Result } from "neverthrow";
 import { deflateRawSync } from "node:zlib";
 import { z } from "zod";
+import type { DeploymentTopic } from "../coordination/ingress/deploymentFeed.js";
 import type { EntryStatus } from "../coordination/ingress/peerStatusTable.js";
 import { inflateBounded } from "./boundedInflate.js";
 import { crashEvidenceSchema } from "./crashEvidenceMessages.js";
@@ -19,10 +20,15 @@
     sequence: z.number(),
     running: z.record(z.string(), z.number()),
     limits: z.record(z.string(), z.number()),
+    // Entries of earlier builds state offsets only, and neither whether they are served nor what they have read.
     store: z.object({
         contactAge: z.number(),
         offsets: z.object({ operator: z.number(), upstreams: z.number() }),
+        eras: z.object({ operator: z.number(), upstreams: z.number() }).optional(),
     }).optional(),
+    isServed: z.boolean().default(true),
+    hasRead: z.boolean().default(false),
+    leaving: z.record(z.string(), z.number()).default({}),
     crashEvidence: crashEvidenceSchema.optional(),
 });
 const gossipMessageSchema = z.object({
@@ -33,14 +39,39 @@
 
 export type EntryGossipMessage = { from: string; news: EntryStatus[]; };
 
-export const encodeEntryGossip = (message: EntryGossipMessage): Buffer =>
-    deflateRawSync(JSON.stringify({ version: protocolVersion, ...message }));
+type WireStatus = z.infer<typeof entryStatusSchema>;
+
+const toWire = ({ store, ...status }: EntryStatus): WireStatus => ({
+    ...status,
+    ...store === undefined ? {} : {
+        store: {
+            contactAge: store.contactAge,
+            offsets: mapTopics(store.positions, ({ offset }) => offset),
+            eras: mapTopics(store.positions, ({ era }) => era),
+        },
+    },
+});
+
+const mapTopics = <From, To>(
+    { operator, upstreams }: Record<DeploymentTopic, From>,
+    map: (value: From) => To,
+): Record<DeploymentTopic, To> => ({ operator: map(operator), upstreams: map(upstreams) });
+
+const fromWire = ({ store, ...status }: WireStatus): EntryStatus => ({
+    ...status as Omit<EntryStatus, "store">,
+    store: store === undefined ? undefined : {
+        contactAge: store.contactAge,
+        positions: {
+            operator: { era: store.eras?.operator ?? 0, offset: store.offsets.operator },
+            upstreams: { era: store.eras?.upstreams ?? 0, offset: store.offsets.upstreams },
+        },
+    },
+});
+
+export const encodeEntryGossip = ({ from, news }: EntryGossipMessage): Buffer =>
+    deflateRawSync(JSON.stringify({ version: protocolVersion, from, news: news.map(toWire) }));
 
 export const decodeEntryGossip = (message: Buffer): Result<EntryGossipMessage, string> =>
     inflateBounded(message)
-        .andThen(text =>
-            decodeJsonAs(gossipMessageSchema, text.toString("utf8")).mapErr(describeDecodingError)
-        ) as Result<
-            EntryGossipMessage,
-            string
-        >;
+        .andThen(text => decodeJsonAs(gossipMessageSchema, text.toString("utf8")).mapErr(describeDecodingError))
+        .map(({ from, news }) => ({ from, news: news.map(fromWire) }));
--- a/src/state/ingressTypes.ts
+++ b/src/state/ingressTypes.ts
@@ -86,6 +86,8 @@
     coldMilliseconds: number;
     /** Start time in milliseconds since the Unix epoch; distinguishes two runs with the same id. */
     bornAt: number;
+    /** Increases with each record that this run writes; 0 if its records don't say. */
+    revision: number;
     group: GroupMembership | undefined;
 };
 
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -9,8 +9,9 @@
     type RankUpdate,
 } from "../../coordination/experts/groupCoordinator.js";
 import type { RankEngines, RankReport } from "../../coordination/experts/rankEngine.js";
-import type { DeploymentFeed } from "../../coordination/ingress/deploymentFeed.js";
+import type { DeploymentTopic, FeedDecoder, FeedRecord } from "../../coordination/ingress/deploymentFeed.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
+import type { RecordSource } from "../../coordination/ingress/recordSource.js";
 import { createMetrics } from "../../coordination/metrics.js";
 import type { RankConfig } from "../../protocol/ingressConfig.js";
 import type { Upstream, UpstreamService } from "../../state/ingressTypes.js";
@@ -20,7 +21,7 @@
 import { monotonicClock } from "../systemClock.js";
 import { startRankGossip } from "./rankGossip.js";
 
-export type RankAdapter = { feed: DeploymentFeed; engines: RankEngines; };
+export type RankAdapter = { records: RecordSource; decode: FeedDecoder; engines: RankEngines; };
 
 /** Interval between reads of the counts: three to four steps of a busy group. */
 const readIntervalMilliseconds = 300;
@@ -33,7 +34,7 @@
 const beaconTimeoutMilliseconds = 1_300;
 const takeoverDelayPerRankMilliseconds = 400;
 /**
- * The list of ranks changes when a rank restarts at another address. Only the coordinator needs it, and reads of the
+ * The list of ranks changes when a rank restarts at another address. Only the coordinator reads it, as reads of the
  * store are charged for.
  */
 const membersMaximumAgeMilliseconds = 6_000;
@@ -107,24 +108,29 @@
         return known.length > 0 && known.length === upstreamsByRank.length ? known : undefined;
     };
 
+    /** The records of a topic; undefined if the store did not answer. */
+    const readTopic = async (topic: DeploymentTopic): Promise<FeedRecord[] | undefined> =>
+        (await adapter.records.readAll(topic, signal))
+            .map(({ records }) => records.map(record => adapter.decode(topic, record)))
+            .unwrapOr(undefined);
+
     const refreshMembers = async (): Promise<void> => {
         let readAt = -Infinity;
         while (!signal.aborted) {
             const isComplete = members() !== undefined && service !== undefined;
-            if (isComplete && (!wasActive || clock.now() - readAt < membersMaximumAgeMilliseconds)) {
+            if (!isActive() || isComplete && clock.now() - readAt < membersMaximumAgeMilliseconds) {
                 await clock.sleep(membersCheckIntervalMilliseconds, signal);
                 continue;
             }
-            const listedUpstreams = await adapter.feed.readAll("upstreams", signal);
+            const listedUpstreams = await readTopic("upstreams");
             if (service?.experts === undefined) {
-                const operatorRecords = await adapter.feed.readAll("operator", signal);
-                service = operatorRecords.isErr() ? undefined : operatorRecords.value.records
+                service = (await readTopic("operator") ?? [])
                     .flatMap(record => record.kind === "configuration" ? record.configuration.services : [])
                     .find(({ name }) => name === config.service);
             }
-            if (listedUpstreams.isOk() && report !== undefined) {
+            if (listedUpstreams !== undefined && report !== undefined) {
                 const found: (Upstream | undefined)[] = new Array<undefined>(report.ranks).fill(undefined);
-                for (const record of listedUpstreams.value.records) {
+                for (const record of listedUpstreams) {
                     if (record.kind === "upstream" && record.upstream.group?.name === report.group) {
                         found[record.upstream.group.rank] = record.upstream;
                     }
--- a/src/transport/ingress/entryGossip.ts
+++ b/src/transport/ingress/entryGossip.ts
@@ -8,12 +8,13 @@
 import type { IngressLog } from "../../coordination/ingress/ingressLog.js";
 import type { MemberList } from "../../coordination/ingress/memberList.js";
 import type { EntryStatus, PeerStatusTable } from "../../coordination/ingress/peerStatusTable.js";
+import type { FeedPosition } from "../../coordination/ingress/recordSource.js";
 import { decodeEntryGossip, encodeEntryGossip } from "../../protocol/entryGossipMessages.js";
 import type { Clock } from "../../state/types.js";
 import { openDatagramSocket } from "../datagramSocket.js";
 
-/** Entries contact all others when they start; reading the list again covers lost datagrams. */
-const listIntervalMilliseconds = 40_000;
+/** The store charges for each poll and limits its wait to 30 s. */
+const listPollMilliseconds = 25_000;
 const listRetryMilliseconds = 1_000;
 
 export type EntryGossipOptions = {
@@ -22,6 +23,8 @@
     ip: string;
     port: number;
     members: MemberList;
+    /** All other known entries by host name; filled by this module. */
+    knownEntries: Map<string, PeerEntry>;
     peerStatuses: PeerStatusTable;
     /** Called after statuses of other entries were recorded. */
     onStatuses: (statuses: EntryStatus[]) => void;
@@ -38,6 +41,7 @@
         ip,
         port,
         members,
+        knownEntries,
         peerStatuses,
         onStatuses,
         ownStatusFields,
@@ -45,7 +49,6 @@
         log,
         signal,
     } = options;
-    const knownEntries = new Map<string, PeerEntry>();
     let sequence = 0;
 
     const receive = (message: Buffer, sender: string): void =>
@@ -72,29 +75,42 @@
         return { host, availabilityZone, sequence, ...ownStatusFields() };
     };
 
-    const syncMemberList = async (): Promise<void> => {
-        let isAnnounced = false;
+    const announce = async (): Promise<void> => {
+        const address = `${ip}:${port}`;
         while (!signal.aborted) {
-            if (!isAnnounced) {
-                const announced = await members.announce(
-                    { host, availabilityZone, address: `${ip}:${port}` },
-                    signal,
-                );
-                isAnnounced = announced.isOk();
+            const announced = await members.announce({ host, availabilityZone, address }, signal);
+            if (announced.isOk()) {
+                return;
             }
-            const listed = await members.read(signal);
-            listed.match(
-                found =>
-                    found.filter(member => member.host !== host)
-                        .forEach(member => knownEntries.set(member.host, member)),
-                reason => log.stateChange("entry list read failed", { reason }),
-            );
-            await clock.sleep(isAnnounced && listed.isOk() ? listIntervalMilliseconds : listRetryMilliseconds, signal);
+            await clock.sleep(listRetryMilliseconds, signal);
+        }
+    };
+
+    const followMemberList = async (): Promise<void> => {
+        let position: FeedPosition | undefined;
+        while (!signal.aborted) {
+            const batch = position === undefined
+                ? await members.readAll(signal)
+                : await members.readNewer(position, listPollMilliseconds, signal);
+            if (batch.isErr()) {
+                log.stateChange("entry list read failed", { ...batch.error });
+                position = batch.error.kind === "truncated" ? undefined : position;
+                await clock.sleep(listRetryMilliseconds, signal);
+                continue;
+            }
+            const listed = batch.value.members;
+            listed.filter(member => member.host !== host).forEach(member => knownEntries.set(member.host, member));
+            // A restarted entry is still listed; a store that came back from an older copy may have lost the record.
+            const isListed = listed.some(member => member.host === host && member.address === `${ip}:${port}`);
+            if (position === undefined && !isListed) {
+                void announce();
+            }
+            position = batch.value.next;
         }
     };
 
     const sendDatagrams = openDatagramSocket({ ip, port, onMessage: receive, log, signal });
-    void syncMemberList();
+    void followMemberList();
     return startGossipSchedule({
         host,
         availabilityZone,
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -8,16 +8,20 @@
 import { type CrashEvidenceStore, startCrashEvidenceSync } from "../../coordination/ingress/crashEvidenceSync.js";
 import { createCrashEvidenceTable } from "../../coordination/ingress/crashEvidenceTable.js";
 import { createCrashObserver } from "../../coordination/ingress/crashObserver.js";
-import { type DeploymentFeed, followDeployment } from "../../coordination/ingress/deploymentFeed.js";
+import { type FeedDecoder, followDeployment } from "../../coordination/ingress/deploymentFeed.js";
 import { createDeploymentState } from "../../coordination/ingress/deploymentState.js";
+import type { PeerEntry } from "../../coordination/ingress/gossipSchedule.js";
 import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
 import type { MemberList } from "../../coordination/ingress/memberList.js";
 import { createPeerStatusTable } from "../../coordination/ingress/peerStatusTable.js";
+import { createRecordPeers } from "../../coordination/ingress/recordPeers.js";
+import type { RecordSource } from "../../coordination/ingress/recordSource.js";
 import type { RequestContext, RequestDependencies } from "../../coordination/ingress/requestContext.js";
 import { requestTraits, suspectTraits } from "../../coordination/ingress/requestTraits.js";
 import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
+import { createSharedRecords } from "../../coordination/ingress/sharedRecords.js";
 import { createStoreMonitor } from "../../coordination/ingress/storeMonitor.js";
 import { createStreamAdmission } from "../../coordination/ingress/streamAdmission.js";
 import { createStreamScheduler } from "../../coordination/ingress/streamScheduler.js";
@@ -37,15 +41,18 @@
 import { startEntryGossip } from "./entryGossip.js";
 import { isPortClosed } from "./portCheck.js";
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
+import { createRelayedSource, serveRecords } from "./recordRelay.js";
 import { createSender } from "./upstreamSender.js";
 
 /** Access to a platform: its header fields, store and engines. */
 export type PlatformAdapter = {
     headerAdapter: HeaderAdapter;
-    feed: DeploymentFeed;
-    /** The list of the deployment's entries. */
-    members: MemberList;
-    crashes: CrashEvidenceStore;
+    /** The platform's store. */
+    records: RecordSource;
+    decode: FeedDecoder;
+    /** The list of the deployment's entries, read through `source`. */
+    createMemberList: (source: RecordSource) => MemberList;
+    createCrashEvidenceStore: (source: RecordSource) => CrashEvidenceStore;
     engines: Pick<RankEngines, "report">;
     readinessPath: string;
 };
@@ -71,6 +78,8 @@
 /** Reserved at the end of the grace period to close connections before the process is killed. */
 const shutdownMarginMilliseconds = 300;
 const drainCheckMilliseconds = 50;
+/** Other entries probe the store when they have heard of no contact for about this long. */
+const publishContactAfterMilliseconds = 500;
 /** Fraction of the permitted retry ratio that is used; the rest covers requests that upstreams reject on their own. */
 const usedRetryRatioFraction = 0.85;
 
@@ -92,6 +101,31 @@
         () => config.retryRatio * usedRetryRatioFraction,
         createRetryReserve(config, peerStatuses.maximumEntriesSeen),
     );
+    const knownEntries = new Map<string, PeerEntry>();
+    const storeMonitor = createStoreMonitor(clock, () => sharedRecords.storeTurn());
+    const sharedRecords = createSharedRecords({
+        host: config.host,
+        availabilityZone: config.availabilityZone,
+        store: platform.records,
+        peers: createRecordPeers({
+            availabilityZone: config.availabilityZone,
+            knownEntries,
+            peerStatuses,
+            createSource: createRelayedSource,
+            clock,
+        }),
+        onStoreContact: silentFor => {
+            storeMonitor.recordContact();
+            // Spares the other entries a probe; otherwise the regular messages tell them soon enough.
+            if (silentFor > publishContactAfterMilliseconds) {
+                gossip.publishNow();
+            }
+        },
+        onServedChange: () => gossip.publishNow(),
+        clock,
+        log,
+        signal,
+    });
     const crashEvidence = createCrashEvidenceTable({
         host: config.host,
         unixNow: Date.now,
@@ -101,7 +135,7 @@
     });
     const crashEvidenceSync = startCrashEvidenceSync({
         host: config.host,
-        store: platform.crashes,
+        store: platform.createCrashEvidenceStore(sharedRecords.source),
         table: crashEvidence,
         entries: peerStatuses.entries,
         clock,
@@ -157,12 +191,12 @@
         return evidence.crashes.length + evidence.answers.length === 0 ? undefined : evidence;
     };
 
-    const storeMonitor = createStoreMonitor(clock, () => peerStatuses.orderOf(config.host));
     const deploymentFollower = followDeployment({
-        feed: platform.feed,
+        source: sharedRecords.source,
+        store: sharedRecords.store,
+        decode: platform.decode,
         sink: state,
         storeMonitor,
-        onStoreContact: () => gossip.publishNow(),
         clock,
         log,
         random: Math.random,
@@ -173,12 +207,16 @@
         availabilityZone: config.availabilityZone,
         ip: config.ip,
         port: config.internalPorts[0],
-        members: platform.members,
+        members: platform.createMemberList(sharedRecords.source),
+        knownEntries,
         peerStatuses,
         onStatuses: statuses => {
             statuses.flatMap(({ store }) => store ?? []).forEach(storeMonitor.recordPeerStatus);
             statuses.flatMap(status => status.crashEvidence ?? []).forEach(crashEvidence.merge);
-            deploymentFollower.checkPeerOffsets();
+            statuses.flatMap(({ leaving }) => Object.entries(leaving)).forEach(([id, bornAt]) =>
+                state.markLeaving(id, bornAt, "another entry")
+            );
+            deploymentFollower.checkPeerPositions();
             admission.retryQueued();
         },
         ownStatusFields: () => ({
@@ -186,6 +224,9 @@
             running: runningByUpstream(),
             limits: Object.fromEntries(streamScheduler.groups().map(({ group, limit }) => [group, limit])),
             store: storeMonitor.readStatus(),
+            isServed: sharedRecords.isServed(),
+            hasRead: sharedRecords.hasRead(),
+            leaving: state.leavingToGossip(),
             crashEvidence: crashEvidenceToGossip(),
         }),
         clock,
@@ -270,12 +311,14 @@
         }
         return isReadyNow;
     };
+    const relay = await serveRecords(`${config.ip}:${config.internalPorts[0]}`, sharedRecords.cache, signal);
     const readiness = await startReadinessServer(config.readiness, platform.readinessPath, isReady);
     const describeState = (): Record<string, unknown> => ({
         host: config.host,
         availabilityZone: config.availabilityZone,
         configuration: state.routeTable()?.configuration.version,
         store: storeMonitor.readStatus(),
+        isServedByStore: sharedRecords.isServed(),
         entries: peerStatuses.entries(),
         evacuatedZones: state.evacuatedZones(),
         upstreams: state.all(),
@@ -297,7 +340,7 @@
                 await clock.sleep(drainCheckMilliseconds, signal);
             }
             callers.close();
-            await Promise.all([readiness.close(), metricsServer.close()]);
+            await Promise.all([readiness.close(), metricsServer.close(), relay.close()]);
         },
     };
 };
--- a/tests/ingress/crashEvidenceSync.test.ts
+++ b/tests/ingress/crashEvidenceSync.test.ts
@@ -4,8 +4,8 @@
 import { expect } from "chai";
 import { err, ok } from "neverthrow";
 import { type CrashEvidenceStore, startCrashEvidenceSync } from "../../src/coordination/ingress/crashEvidenceSync.js";
-import type { FeedFailure } from "../../src/coordination/ingress/deploymentFeed.js";
 import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
+import type { FeedFailure } from "../../src/coordination/ingress/recordSource.js";
 import type { CrashEvidence } from "../../src/state/crashEvidence.js";
 import { steppedClock } from "../support/steppedClock.js";
 
@@ -30,12 +30,12 @@
             await clock.sleep(records.length > from ? readMilliseconds : waitMilliseconds, signal);
             const failed = failure();
             return failed === undefined
-                ? ok({ records: records.slice(from), nextOffset: records.length })
+                ? ok({ records: records.slice(from), next: { era: 0, offset: records.length } })
                 : err(failed);
         };
         const store: CrashEvidenceStore = {
             readAll: signal => read("readAll", 0, 0, signal),
-            readNewer: (offset, waitMilliseconds, signal) => read("readNewer", offset, waitMilliseconds, signal),
+            readNewer: ({ offset }, waitMilliseconds, signal) => read("readNewer", offset, waitMilliseconds, signal),
             write: async (host, written) => {
                 calls.push(`write ${host} ${written.crashes.length}`);
                 return ok(undefined);
--- a/tests/ingress/gossip.test.ts
+++ b/tests/ingress/gossip.test.ts
@@ -28,6 +28,9 @@
     running: {},
     limits: {},
     store: undefined,
+    isServed: true,
+    hasRead: false,
+    leaving: {},
     crashEvidence: undefined,
     ...fields,
 });
@@ -129,11 +132,16 @@
     });
 
     it("is decoded from a datagram as it was encoded, and other bytes are rejected", () => {
-        const store = { contactAge: 3, offsets: { operator: 8, upstreams: 900 } };
-        const statuses = [statusOf({ running: { x: 3 }, limits: { g: 40.5 } }), statusOf({ host: "b", store })];
+        const positions = { operator: { era: 2, offset: 8 }, upstreams: { era: 3, offset: 900 } };
+        const store = { contactAge: 3, positions };
+        const leaving = { "i-1": 1_700_000_000_000 };
+        const statuses = [
+            statusOf({ running: { x: 3 }, limits: { g: 40.5 }, leaving }),
+            statusOf({ host: "b", store }),
+        ];
         const decoded = decodeEntryGossip(encodeEntryGossip({ from: "a", news: statuses }))._unsafeUnwrap();
         expect(decoded.from).to.equal("a");
-        expect(decoded.news[0]).to.deep.include({ running: { x: 3 }, limits: { g: 40.5 } });
+        expect(decoded.news[0]).to.deep.include({ running: { x: 3 }, limits: { g: 40.5 }, leaving });
         expect(decoded.news[1]).to.deep.include({ host: "b", store });
         expect(decodeEntryGossip(Buffer.from("no datagram of ours")).isErr()).to.equal(true);
     });
--- a/tests/ingress/ingressDecisions.test.ts
+++ b/tests/ingress/ingressDecisions.test.ts
@@ -166,6 +166,9 @@
         running: { x: 3 },
         limits: { g: 40 },
         store: undefined,
+        isServed: true,
+        hasRead: false,
+        leaving: {},
         crashEvidence: undefined,
         ...fields,
     });
--- a/tests/support/evidenceStoreModel.ts
+++ b/tests/support/evidenceStoreModel.ts
@@ -19,15 +19,17 @@
             readAll: async signal => {
                 await clock.sleep(storeMilliseconds, signal);
                 const newest = new Map(stored.map(({ host, evidence }) => [host, evidence]));
-                return isAway() ? unavailable() : ok({ records: [...newest.values()], nextOffset: stored.length });
+                return isAway()
+                    ? unavailable()
+                    : ok({ records: [...newest.values()], next: { era: 0, offset: stored.length } });
             },
-            readNewer: async (offset, waitMilliseconds, signal) => {
+            readNewer: async ({ offset }, waitMilliseconds, signal) => {
                 await clock.sleep(storeMilliseconds, signal);
                 if (stored.length <= offset && !isAway()) {
                     await storeNotifier.wait("written", waitMilliseconds, signal);
                 }
                 const records = stored.slice(offset).map(({ evidence }) => evidence);
-                return isAway() ? unavailable() : ok({ records, nextOffset: offset + records.length });
+                return isAway() ? unavailable() : ok({ records, next: { era: 0, offset: offset + records.length } });
             },
             write: async (host, evidence, signal) => {
                 await clock.sleep(storeMilliseconds, signal);
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -7,9 +7,11 @@
 import { platformEngines } from "../../platform/engineClient.js";
 import { createMemberList } from "../../platform/memberRecords.js";
 import { headerNames, paths, topics } from "../../platform/names.js";
+import { createRecordSource } from "../../platform/recordSource.js";
 import { platformHeaderAdapter } from "../../platform/requestHeaders.js";
 import { createStoreClient } from "../../platform/storeClient.js";
-import { createDeploymentFeed } from "../../platform/storeRecords.js";
+import { decodeDeploymentRecord } from "../../platform/storeRecords.js";
+import type { RecordSource } from "../../src/coordination/ingress/recordSource.js";
 import { type KeyedStore, startKeyedStore } from "../../src/standin/keyedStore.js";
 import type { SealedServer } from "../../src/standin/sealedServer.js";
 import type { LogLine } from "../../src/state/ingressTypes.js";
@@ -184,9 +186,10 @@
             },
             {
                 headerAdapter: platformHeaderAdapter,
-                feed: createDeploymentFeed(storeClient),
-                crashes: createCrashEvidenceStore(storeClient),
-                members: createMemberList(storeClient),
+                records: createRecordSource(storeClient),
+                decode: decodeDeploymentRecord,
+                createMemberList: (source: RecordSource) => createMemberList(storeClient, source),
+                createCrashEvidenceStore: (source: RecordSource) => createCrashEvidenceStore(storeClient, source),
                 engines: platformEngines,
                 readinessPath: paths.readiness,
             },
--- a/tests/support/upstreams.ts
+++ b/tests/support/upstreams.ts
@@ -12,6 +12,7 @@
     isDraining: false,
     coldMilliseconds: 0,
     bornAt: 1,
+    revision: 0,
     group: undefined,
     ...fields,
 });
