Heed servers that say in a response that they leave or want a pause

Cause: no code read Server-Leaving or a server's Retry-After, so a server that leaves got requests until the list showed it as draining, or for as long as the store was away, and one that asked for a pause got them at once again.

Change: withNotices reads both from each response. A leaving run gets nothing more from any entry, which tell each other of it, until its next run is listed; word of an earlier run and late records of the leaving one don't count. A pause holds for the entry that was told and the run that told it, in seconds with fractions, at most an hour; a shorter one never ends a longer one. If all upstreams pause, callers are refused at once with the shortest pause, spread, also those that waited in the queue.

--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -14,8 +14,8 @@
 /** Within this time after the store's return, live upstreams have registered again. */
 const relistGraceMilliseconds = 2_000;
 
-/** Upstreams that are remembered after their removal. */
-const maximumRemovedUpstreams = 1_000;
+/** Upstreams that are remembered after their removal, and as leaving. */
+const maximumRememberedUpstreams = 1_000;
 
 export type KnownUpstream = Upstream & {
     /** Set if its record is missing since an outage of the store: when it counts as gone unless it registers again. */
@@ -63,7 +63,7 @@
 
     const upsertUpstream = (upstream: Upstream): void => {
         const known = upstreams.get(upstream.id);
-        if (leaving.has(upstream.id) && leaving.get(upstream.id) !== upstream.bornAt) {
+        if (upstream.bornAt > (leaving.get(upstream.id) ?? Infinity)) {
             leaving.delete(upstream.id);
         }
         removed.delete(upstream.id);
@@ -83,12 +83,16 @@
         }
     };
 
+    const dropOldest = (remembered: Map<string, unknown>): void => {
+        const [oldest] = remembered.keys();
+        if (remembered.size > maximumRememberedUpstreams && oldest !== undefined) {
+            remembered.delete(oldest);
+        }
+    };
+
     const remember = (upstream: Upstream): void => {
         removed.set(upstream.id, upstream);
-        const [oldest] = removed.keys();
-        if (removed.size > maximumRemovedUpstreams && oldest !== undefined) {
-            removed.delete(oldest);
-        }
+        dropOldest(removed);
     };
 
     const removeUpstream = (id: string, reason: string): void => {
@@ -102,7 +106,6 @@
         }
         else {
             upstreams.delete(id);
-            leaving.delete(id);
             remember(known);
         }
         log.stateChange("upstream unlisted", {
@@ -201,6 +204,7 @@
                 return;
             }
             leaving.set(id, bornAt);
+            dropOldest(leaving);
             log.stateChange("upstream leaving", { id, service: known.service, source, isDraining: known.isDraining });
         },
         leavingToGossip: () =>
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -75,6 +75,22 @@
         details: { hold },
     });
 
+    const noUpstream = (service: string): AdmissionRefusal => {
+        const pauseMilliseconds = scheduler.pauseMilliseconds(service);
+        return {
+            kind: "no-upstream",
+            retryAfterMilliseconds: pauseMilliseconds === undefined
+                ? suggestedRetryAfterStall()
+                : pauseMilliseconds + random() * retryAfterSpreadMilliseconds,
+            details: {
+                reason: pauseMilliseconds === undefined
+                    ? "no running group has a usable upstream"
+                    : "all upstreams asked for a pause",
+                groups: scheduler.groups(),
+            },
+        };
+    };
+
     return {
         enter: async context => {
             const { service, route, envelope, clientAccount, priority, arrivedAt, responseDueAt, signal } = context;
@@ -84,12 +100,7 @@
                 return err(heldBack(hold));
             }
             if (!scheduler.hasUpstream(service, noneExcluded)) {
-                const details = { reason: "no running group has a usable upstream", groups: scheduler.groups() };
-                return err({
-                    kind: "no-upstream",
-                    retryAfterMilliseconds: suggestedRetryAfterStall(),
-                    details,
-                });
+                return err(noUpstream(service));
             }
             const queue = queueOf(service);
             const entered = await queue.submit<Result<StreamReservation, AdmissionRefusal>>({
@@ -106,7 +117,12 @@
                         return { kind: "done", value: err(heldBack(holdMeanwhile)) };
                     }
                     const reservation = scheduler.reserve(service, noneExcluded, "new");
-                    return reservation === undefined ? { kind: "wait" } : { kind: "done", value: ok(reservation) };
+                    if (reservation !== undefined) {
+                        return { kind: "done", value: ok(reservation) };
+                    }
+                    return scheduler.hasUpstream(service, noneExcluded)
+                        ? { kind: "wait" }
+                        : { kind: "done", value: err(noUpstream(service)) };
                 },
             }, signal);
             return entered.mapErr(({ kind }): AdmissionRefusal => ({
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -12,6 +12,7 @@
 import type { IngressLog } from "./ingressLog.js";
 import type { PeerStatusTable } from "./peerStatusTable.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
+import type { UpstreamPauses } from "./upstreamPauses.js";
 
 export type StreamReservation = {
     upstream: KnownUpstream;
@@ -44,6 +45,8 @@
     groups: () => { group: string; limit: number; running: number; overall: number; }[];
     /** Whether any upstream of the service, not in `excluded`, is in a running group. */
     hasUpstream: (service: string, excluded: ReadonlySet<string>) => boolean;
+    /** Time until the first upstream takes work again, if all usable ones have asked for a pause; else undefined. */
+    pauseMilliseconds: (service: string) => number | undefined;
     /** Whether any known group is running; true while no group is known. */
     hasRunningGroup: () => boolean;
 };
@@ -51,6 +54,7 @@
 export type StreamSchedulerOptions = {
     state: Pick<DeploymentState, "usable" | "all">;
     health: Pick<UpstreamHealth, "isEjected">;
+    pauses: Pick<UpstreamPauses, "isPaused" | "millisecondsUntilFirst">;
     clock: Clock;
     peerStatuses: Pick<PeerStatusTable, "runningOn" | "limitOf">;
     /** Queries one engine for the state of its group; undefined if it doesn't respond. */
@@ -68,7 +72,7 @@
 type GroupCandidate = { group: string; concurrencyLimit: GroupConcurrencyLimit; ranks: KnownUpstream[]; load: number; };
 
 export const createStreamScheduler = (options: StreamSchedulerOptions): StreamScheduler => {
-    const { state, health, clock, peerStatuses, queryEngine, log, random, signal } = options;
+    const { state, health, pauses, clock, peerStatuses, queryEngine, log, random, signal } = options;
     const concurrencyLimits = new Map<string, GroupConcurrencyLimit>();
     const stallDetectors = new Map<string, GroupStallDetector>();
     const runningByUpstream = new Map<string, number>();
@@ -123,7 +127,9 @@
     };
 
     const candidates = (service: string, excluded: ReadonlySet<string>): KnownUpstream[] => {
-        const usable = state.usable(service).filter(({ id }) => !excluded.has(id));
+        const usable = state.usable(service).filter(upstream =>
+            !excluded.has(upstream.id) && !pauses.isPaused(upstream)
+        );
         const runningUpstreams = usable.filter(({ group }) => group === undefined || isRunning(group));
         const healthy = runningUpstreams.filter(({ id }) => !health.isEjected(id));
         return healthy.length > 0 ? healthy : runningUpstreams;
@@ -206,6 +212,7 @@
                 running: concurrencyLimit.running(),
                 overall: runningOnAllEntries(group),
             })),
+        pauseMilliseconds: service => pauses.millisecondsUntilFirst(state.usable(service)),
         hasUpstream: (service, excluded) => candidates(service, excluded).length > 0,
         hasRunningGroup: () =>
             stallDetectors.size === 0 || [...stallDetectors.values()].some(stallDetector => stallDetector.isRunning()),
--- a/src/coordination/ingress/unaryScheduler.ts
+++ b/src/coordination/ingress/unaryScheduler.ts
@@ -7,6 +7,7 @@
  */
 import type { DeploymentState, KnownUpstream } from "./deploymentState.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
+import type { UpstreamPauses } from "./upstreamPauses.js";
 
 export type UnaryScheduler = {
     /** Selects the best upstream not in `excluded`; the request counts as outstanding there until `release`. */
@@ -15,6 +16,8 @@
         excluded: ReadonlySet<string>,
     ) => { upstream: KnownUpstream; release: () => void; } | undefined;
     running: () => ReadonlyMap<string, number>;
+    /** Time until the first upstream takes work again, if all usable ones have asked for a pause; else undefined. */
+    pauseMilliseconds: (service: string) => number | undefined;
 };
 
 /**
@@ -27,6 +30,7 @@
 export const createUnaryScheduler = (
     state: Pick<DeploymentState, "usable">,
     health: Pick<UpstreamHealth, "isEjected" | "averageResponseMilliseconds">,
+    pauses: Pick<UpstreamPauses, "isPaused" | "millisecondsUntilFirst">,
     availabilityZone: string,
     runningOnOtherEntries: (id: string) => number,
 ): UnaryScheduler => {
@@ -41,7 +45,9 @@
 
     return {
         reserve: (service, excluded) => {
-            const usable = state.usable(service).filter(({ id }) => !excluded.has(id));
+            const usable = state.usable(service).filter(upstream =>
+                !excluded.has(upstream.id) && !pauses.isPaused(upstream)
+            );
             const healthy = usable.filter(({ id }) => !health.isEjected(id));
             const [best] = (healthy.length > 0 ? healthy : usable)
                 .map(upstream => ({ upstream, expected: expectedMilliseconds(upstream) }))
@@ -57,5 +63,6 @@
             };
         },
         running: () => running,
+        pauseMilliseconds: service => pauses.millisecondsUntilFirst(state.usable(service)),
     };
 };
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -186,7 +186,10 @@
                 failRequest(context, dependencies, "crashes-upstreams", { hold: crashEvidence.holdOf(traits, false) });
             }
             else {
-                failRequest(context, dependencies, "no-upstream", details, baseRetryAfterMilliseconds * (1 + random()));
+                const pauseMilliseconds = scheduler.pauseMilliseconds(service) ?? 0;
+                const retryAfterMilliseconds = Math.max(pauseMilliseconds, baseRetryAfterMilliseconds)
+                    + baseRetryAfterMilliseconds * random();
+                failRequest(context, dependencies, "no-upstream", details, retryAfterMilliseconds);
             }
         }
     };
--- a/src/standin/sealedServer.ts
+++ b/src/standin/sealedServer.ts
@@ -38,6 +38,10 @@
     receivedRequests: ReceivedRequest[];
     /** Queues faults, each of which applies to one of the next requests. */
     queueFaults: (...faults: ServerFault[]) => void;
+    /** Adds the header of a leaving server to all further responses. */
+    announceLeaving: () => void;
+    /** Turns all further requests away with 503 and this `Retry-After`; undefined ends it. */
+    askForPause: (retryAfter: string | undefined) => void;
     /** Number of event streams whose connection closed before their end, without those of the `cut` fault. */
     abandonedRequestCount: () => number;
     crash: () => void;
@@ -68,6 +72,8 @@
     const receivedRequests: ReceivedRequest[] = [];
     const queuedFaults: ServerFault[] = [];
     let abandonedRequestCount = 0;
+    let isLeaving = false;
+    let retryAfter: string | undefined;
 
     const sealHeaders = (requestId: string): Record<string, string> => ({
         [headerNames.requestId]: requestId,
@@ -147,11 +153,14 @@
     };
 
     const server = createServer((request, response) => {
+        if (isLeaving) {
+            response.setHeader(headerNames.serverLeaving, "1");
+        }
         const chunks: Buffer[] = [];
         request.on("data", (chunk: Buffer) => chunks.push(chunk));
         request.on("end", () => {
             const requestId = String(request.headers[headerNames.requestId] ?? "");
-            const fault = queuedFaults.shift();
+            const fault = retryAfter === undefined ? queuedFaults.shift() : "not-run";
             const isMisdirected = request.headers[headerNames.targetUpstream] !== currentId;
             const hasRun = !isMisdirected && fault !== "not-run";
             const { method = "", url = "", headers } = request;
@@ -170,7 +179,8 @@
                 return;
             }
             if (fault === "not-run") {
-                response.writeHead(503, { [headerNames.notRun]: "1", [headerNames.requestId]: requestId });
+                const pause = retryAfter === undefined ? {} : { [headerNames.retryAfter]: retryAfter };
+                response.writeHead(503, { [headerNames.notRun]: "1", [headerNames.requestId]: requestId, ...pause });
                 response.end();
                 return;
             }
@@ -211,11 +221,19 @@
         address: `${address}:${port}`,
         receivedRequests,
         queueFaults: (...next) => void queuedFaults.push(...next),
+        announceLeaving: () => {
+            isLeaving = true;
+        },
+        askForPause: seconds => {
+            retryAfter = seconds;
+        },
         abandonedRequestCount: () => abandonedRequestCount,
         crash,
         crashCount: () => crashCount,
         restart: async nextId => {
             currentId = nextId;
+            isLeaving = false;
+            retryAfter = undefined;
             server.listen(port, address);
             await once(server, "listening");
         },
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -29,6 +29,8 @@
 import { createUnaryScheduler } from "../../coordination/ingress/unaryScheduler.js";
 import { createUnaryTask } from "../../coordination/ingress/unaryTask.js";
 import { createUpstreamHealth } from "../../coordination/ingress/upstreamHealth.js";
+import { withNotices } from "../../coordination/ingress/upstreamNotices.js";
+import { createUpstreamPauses } from "../../coordination/ingress/upstreamPauses.js";
 import { createMetrics } from "../../coordination/metrics.js";
 import { createRetryBudget } from "../../coordination/retryBudget.js";
 import type { IngressConfig } from "../../protocol/ingressConfig.js";
@@ -95,6 +97,7 @@
     const metrics = createMetrics();
     const state = createDeploymentState(clock, log);
     const health = createUpstreamHealth(clock, log);
+    const pauses = createUpstreamPauses(clock, log);
     const peerStatuses = createPeerStatusTable(clock, log);
     const retryBudget = createRetryBudget(
         clock,
@@ -165,6 +168,7 @@
     const streamScheduler = createStreamScheduler({
         state,
         health,
+        pauses,
         clock,
         peerStatuses,
         queryEngine: async ({ address }, querySignal) =>
@@ -173,7 +177,7 @@
         random: Math.random,
         signal,
     });
-    const unaryScheduler = createUnaryScheduler(state, health, config.availabilityZone, peerStatuses.runningOn);
+    const unaryScheduler = createUnaryScheduler(state, health, pauses, config.availabilityZone, peerStatuses.runningOn);
     const admission = createStreamAdmission(streamScheduler, dependencies);
     const runStream = createStreamTask(streamScheduler, admission, dependencies);
     const runUnary = createUnaryTask(unaryScheduler, dependencies);
@@ -269,7 +273,7 @@
             arrivedAt,
             callerDeadlineAt: arrivedAt + patienceMilliseconds,
             responseDueAt,
-            send: createSender(platform.headerAdapter, message, body),
+            send: withNotices(createSender(platform.headerAdapter, message, body), state, pauses),
             sink,
             signal: boundedSignal.signal,
             callerGone,
--- a/tests/ingress/streamOverload.test.ts
+++ b/tests/ingress/streamOverload.test.ts
@@ -9,6 +9,7 @@
     type StreamScheduler,
 } from "../../src/coordination/ingress/streamScheduler.js";
 import { createUpstreamHealth } from "../../src/coordination/ingress/upstreamHealth.js";
+import { createUpstreamPauses } from "../../src/coordination/ingress/upstreamPauses.js";
 import { createMetrics } from "../../src/coordination/metrics.js";
 import { createRetryBudget } from "../../src/coordination/retryBudget.js";
 import type { Clock } from "../../src/state/types.js";
@@ -61,6 +62,7 @@
     const scheduler: StreamScheduler = createStreamScheduler({
         state: { usable: () => upstreams, all: () => upstreams },
         health,
+        pauses: createUpstreamPauses(clock, log),
         clock,
         peerStatuses: { runningOn: () => 0, limitOf: () => undefined },
         queryEngine: async () => undefined,
--- a/tests/support/crashingServerModel.ts
+++ b/tests/support/crashingServerModel.ts
@@ -112,7 +112,13 @@
             }
             return ok({
                 status: 200,
-                metadata: { requestId: undefined, isSealed: true, isNotRun: false },
+                metadata: {
+                    requestId: undefined,
+                    isSealed: true,
+                    isNotRun: false,
+                    isLeaving: false,
+                    retryAfter: undefined,
+                },
                 headers: [],
                 body: body(),
                 isComplete: () => isComplete,
--- a/tests/support/entryFleet.ts
+++ b/tests/support/entryFleet.ts
@@ -20,6 +20,7 @@
 import { createStreamScheduler } from "../../src/coordination/ingress/streamScheduler.js";
 import { createStreamTask } from "../../src/coordination/ingress/streamTask.js";
 import { createUpstreamHealth } from "../../src/coordination/ingress/upstreamHealth.js";
+import { createUpstreamPauses } from "../../src/coordination/ingress/upstreamPauses.js";
 import { createMetrics } from "../../src/coordination/metrics.js";
 import { createRetryBudget } from "../../src/coordination/retryBudget.js";
 import { decodeEntryGossip, encodeEntryGossip } from "../../src/protocol/entryGossipMessages.js";
@@ -186,6 +187,7 @@
         const scheduler = createStreamScheduler({
             state: { usable: servers.upstreams, all: servers.upstreams },
             health,
+            pauses: createUpstreamPauses(ownClock, log),
             clock: ownClock,
             peerStatuses,
             queryEngine: async () => undefined,
