Place streams at random by free places, not at the least loaded rank

Entries place by counts that are some tenths of a second old, and all of them chose the rank with the fewest streams, so the same few were filled until the next counts came.

Change: groups and ranks are chosen at random, weighted by the square of their free places. Groups whose ranks are all full are left out.

--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -1,11 +1,12 @@
 /**
  * Selects the lock-step group and the rank for each stream, and reserves capacity there.
  *
- * Stream counts include those of all entries. The least loaded group below its concurrency limit is selected, and
- * within it the rank with the fewest streams, since a group runs at the pace of its most loaded rank.
+ * Stream counts include those of all entries. Among the groups below their concurrency limits, and then among the ranks
+ * of the group, one is chosen at random by its free places (see `chooseByFreePlaces.ts`).
  */
 import type { GroupMembership } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
+import { chooseByFreePlaces } from "./chooseByFreePlaces.js";
 import type { DeploymentState, KnownUpstream } from "./deploymentState.js";
 import { createGroupConcurrencyLimit, type GroupConcurrencyLimit } from "./groupConcurrencyLimit.js";
 import { createGroupStallDetector, type GroupProgress, type GroupStallDetector } from "./groupStallDetector.js";
@@ -29,9 +30,6 @@
  */
 export type StreamAdmissionClass = "new" | "admitted";
 
-/** Highest ratio of a group's streams, including the new one, to its concurrency limit. */
-const maximumLoad: Record<StreamAdmissionClass, number> = { new: 1, admitted: Infinity };
-
 export type StreamScheduler = {
     /** Reserves capacity on an upstream not in `excluded`; undefined while none is available to this class. */
     reserve: (
@@ -69,7 +67,12 @@
 
 export const groupOf = ({ group, service }: Pick<KnownUpstream, "group" | "service">): string => group?.name ?? service;
 
-type GroupCandidate = { group: string; concurrencyLimit: GroupConcurrencyLimit; ranks: KnownUpstream[]; load: number; };
+type GroupCandidate = {
+    group: string;
+    concurrencyLimit: GroupConcurrencyLimit;
+    ranks: KnownUpstream[];
+    freePlaces: number;
+};
 
 export const createStreamScheduler = (options: StreamSchedulerOptions): StreamScheduler => {
     const { state, health, pauses, clock, peerStatuses, queryEngine, log, random, signal } = options;
@@ -135,46 +138,37 @@
         return healthy.length > 0 ? healthy : runningUpstreams;
     };
 
-    /** Groups that accept another stream, the least loaded first. */
+    const freeSlotsOf = (upstream: KnownUpstream): number => upstream.slots - streamCountOn(upstream.id);
+
+    /** Groups of the upstreams that accept another stream. */
     const groupsWithCapacity = (upstreams: KnownUpstream[], admissionClass: StreamAdmissionClass): GroupCandidate[] => {
         const byGroup = new Map<string, KnownUpstream[]>();
         for (const upstream of upstreams) {
             const group = groupOf(upstream);
-            byGroup.set(group, [...(byGroup.get(group) ?? []), upstream]);
+            const ranks = byGroup.get(group) ?? [];
+            ranks.push(upstream);
+            byGroup.set(group, ranks);
         }
         return [...byGroup]
             .map(([group, ranks]) => {
                 const concurrencyLimit = concurrencyLimitOf(group);
-                return {
-                    group,
-                    concurrencyLimit,
-                    ranks,
-                    load: (runningOnAllEntries(group) + 1) / concurrencyLimit.limit(),
-                };
+                const freeUnderLimit = Math.floor(concurrencyLimit.limit() - runningOnAllEntries(group));
+                const freeSlots = sum(ranks, upstream => Math.max(0, freeSlotsOf(upstream)));
+                const admitted = admissionClass === "admitted" ? Math.max(1, freeUnderLimit) : freeUnderLimit;
+                return { group, concurrencyLimit, ranks, freePlaces: Math.min(admitted, freeSlots) };
             })
-            .filter(({ load }) => load <= maximumLoad[admissionClass])
-            .sort((left, right) => left.load - right.load);
-    };
-
-    /** The rank with the fewest streams; it may be full. */
-    const leastLoadedRank = (ranks: KnownUpstream[]): KnownUpstream | undefined => {
-        // A random start keeps entries that see the same counts from all selecting the same rank.
-        const startIndex = Math.floor(random() * ranks.length);
-        let best: KnownUpstream | undefined;
-        for (let offset = 0; offset < ranks.length; offset += 1) {
-            const upstream = ranks[(startIndex + offset) % ranks.length] as KnownUpstream;
-            if (best === undefined || streamCountOn(upstream.id) < streamCountOn(best.id)) {
-                best = upstream;
-            }
-        }
-        return best;
+            .filter(({ freePlaces }) => freePlaces > 0);
     };
 
     return {
         reserve: (service, excluded, admissionClass) => {
-            const [candidate] = groupsWithCapacity(candidates(service, excluded), admissionClass);
-            const upstream = candidate === undefined ? undefined : leastLoadedRank(candidate.ranks);
-            if (candidate === undefined || upstream === undefined || streamCountOn(upstream.id) >= upstream.slots) {
+            const candidate = chooseByFreePlaces(
+                groupsWithCapacity(candidates(service, excluded), admissionClass),
+                ({ freePlaces }) => freePlaces,
+                random,
+            );
+            const upstream = chooseByFreePlaces(candidate?.ranks ?? [], freeSlotsOf, random);
+            if (candidate === undefined || upstream === undefined) {
                 return undefined;
             }
             const { concurrencyLimit } = candidate;
