--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -37,6 +37,8 @@
         excluded: ReadonlySet<string>,
         admissionClass: StreamAdmissionClass,
     ) => StreamReservation | undefined;
+    /** Reserves capacity for a stream of `upstream` on another one, of another group if they are in groups. */
+    reserveElsewhere: (upstream: KnownUpstream, excluded: ReadonlySet<string>) => StreamReservation | undefined;
     /** This entry's streams by upstream id. */
     running: () => ReadonlyMap<string, number>;
     /** For each group its concurrency limit, and the running streams of this entry and of all entries. */
@@ -160,43 +162,54 @@
             .filter(({ freePlaces }) => freePlaces > 0);
     };
 
+    const reserveAmong = (
+        upstreams: KnownUpstream[],
+        admissionClass: StreamAdmissionClass,
+    ): StreamReservation | undefined => {
+        const candidate = chooseByFreePlaces(
+            groupsWithCapacity(upstreams, admissionClass),
+            ({ freePlaces }) => freePlaces,
+            random,
+        );
+        const upstream = chooseByFreePlaces(candidate?.ranks ?? [], freeSlotsOf, random);
+        if (candidate === undefined || upstream === undefined) {
+            return undefined;
+        }
+        const { concurrencyLimit } = candidate;
+        const stallDetector = stallDetectorOf(candidate.group);
+        let hasStarted = false;
+        runningByUpstream.set(upstream.id, (runningByUpstream.get(upstream.id) ?? 0) + 1);
+        concurrencyLimit.acquire();
+        return {
+            upstream,
+            recordEvent: (pauseMilliseconds, gapTargetMilliseconds) => {
+                if (!hasStarted) {
+                    hasStarted = true;
+                    stallDetector.recordStreamStart();
+                }
+                stallDetector.recordEvent();
+                if (pauseMilliseconds !== undefined) {
+                    concurrencyLimit.recordPause(pauseMilliseconds, gapTargetMilliseconds);
+                }
+            },
+            recordFailure: stallDetector.reportLoss,
+            release: () => {
+                concurrencyLimit.release();
+                if (hasStarted) {
+                    stallDetector.recordStreamEnd();
+                }
+                runningByUpstream.set(upstream.id, (runningByUpstream.get(upstream.id) ?? 1) - 1);
+            },
+        };
+    };
+
     return {
-        reserve: (service, excluded, admissionClass) => {
-            const candidate = chooseByFreePlaces(
-                groupsWithCapacity(candidates(service, excluded), admissionClass),
-                ({ freePlaces }) => freePlaces,
-                random,
+        reserve: (service, excluded, admissionClass) => reserveAmong(candidates(service, excluded), admissionClass),
+        reserveElsewhere: (upstream, excluded) => {
+            const others = candidates(upstream.service, excluded).filter(other =>
+                upstream.group === undefined ? other.id !== upstream.id : groupOf(other) !== groupOf(upstream)
             );
-            const upstream = chooseByFreePlaces(candidate?.ranks ?? [], freeSlotsOf, random);
-            if (candidate === undefined || upstream === undefined) {
-                return undefined;
-            }
-            const { concurrencyLimit } = candidate;
-            const stallDetector = stallDetectorOf(candidate.group);
-            let hasStarted = false;
-            runningByUpstream.set(upstream.id, (runningByUpstream.get(upstream.id) ?? 0) + 1);
-            concurrencyLimit.acquire();
-            return {
-                upstream,
-                recordEvent: (pauseMilliseconds, gapTargetMilliseconds) => {
-                    if (!hasStarted) {
-                        hasStarted = true;
-                        stallDetector.recordStreamStart();
-                    }
-                    stallDetector.recordEvent();
-                    if (pauseMilliseconds !== undefined) {
-                        concurrencyLimit.recordPause(pauseMilliseconds, gapTargetMilliseconds);
-                    }
-                },
-                recordFailure: stallDetector.reportLoss,
-                release: () => {
-                    concurrencyLimit.release();
-                    if (hasStarted) {
-                        stallDetector.recordStreamEnd();
-                    }
-                    runningByUpstream.set(upstream.id, (runningByUpstream.get(upstream.id) ?? 1) - 1);
-                },
-            };
+            return reserveAmong(others, "new");
         },
         running: () => runningByUpstream,
         groups: () =>
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -22,15 +22,20 @@
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
 import {
     type AttemptTimeouts,
+    createBodyReader,
     type FailedAttempt,
     findResponseFault,
     isUpstreamAbsent,
-    readFullBody,
     type UpstreamResponse,
 } from "./upstreamAttempt.js";
 
-/** Callers disconnect after two seconds without an event; these timeouts leave time to resume at another upstream. */
-const streamTimeouts: AttemptTimeouts = { headersMilliseconds: 1_000, idleMilliseconds: 800 };
+/**
+ * Silence after which a stream is moved to another group if that has room; otherwise it is left where it is, as it may
+ * only be slow. Callers disconnect after two seconds without an event.
+ */
+const silenceUntilMove = { beforeFirstEventMilliseconds: 1_000, betweenEventsMilliseconds: 800 };
+const silenceCheckMilliseconds = 250;
+const moveRetryMilliseconds = 100;
 /** Counted from the last event; a stream resumed later would reach the caller after its two seconds are over. */
 const resumeWindowMilliseconds = 1_850;
 const reservationRetryMilliseconds = 40;
@@ -64,6 +69,8 @@
 ) => {
     const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence } = dependencies;
 
+    const readFullBody = createBodyReader();
+
     const relay = async (
         context: RequestContext,
         response: UpstreamResponse,
@@ -122,14 +129,20 @@
         reservation: StreamReservation,
         observed: ObservedAttempt,
         progress: StreamProgress,
+        signal: AbortSignal,
     ): Promise<AttemptResult> => {
-        const { envelope, clientAccount, callerDeadlineAt, send, signal } = context;
+        const { envelope, clientAccount, callerDeadlineAt, responseDueAt, send } = context;
         const metadata = {
             patienceMilliseconds: callerDeadlineAt - clock.now(),
             clientAccount,
             lastEventId: progress.lastEventId,
         };
-        const responseOrFailure = await send(reservation.upstream, metadata, streamTimeouts, signal);
+        const remainingMilliseconds = responseDueAt - clock.now();
+        const timeouts: AttemptTimeouts = {
+            headersMilliseconds: remainingMilliseconds,
+            idleMilliseconds: remainingMilliseconds,
+        };
+        const responseOrFailure = await send(reservation.upstream, metadata, timeouts, signal);
         if (responseOrFailure.isErr()) {
             return responseOrFailure.error;
         }
@@ -215,6 +228,48 @@
         }
     };
 
+    /**
+     * Waits until the attempt ends or its stream has brought no complete event for too long while another group has room;
+     * returns the place there, after it has ended the attempt.
+     */
+    const moveWhenSilent = async (
+        { envelope, route }: RequestContext,
+        { upstream }: StreamReservation,
+        attempts: AttemptHistory,
+        progress: StreamProgress,
+        attemptEnd: AbortController,
+    ): Promise<StreamReservation | undefined> => {
+        const sentAt = clock.now();
+        const silence = (): number => clock.now() - Math.max(sentAt, progress.lastEventAt ?? sentAt);
+        const limit = (): number =>
+            progress.lastEventAt === undefined || progress.lastEventAt < sentAt
+                ? silenceUntilMove.beforeFirstEventMilliseconds
+                : silenceUntilMove.betweenEventsMilliseconds;
+        const mayMove = route.isResumable && attempts.reached.size + 1 < route.attempts;
+        while (mayMove && !attemptEnd.signal.aborted && silence() < resumeWindowMilliseconds) {
+            const remaining = limit() - silence();
+            if (remaining > 0) {
+                await clock.sleep(Math.min(remaining, silenceCheckMilliseconds), attemptEnd.signal);
+                continue;
+            }
+            const place = scheduler.reserveElsewhere(upstream, attempts.excluded);
+            if (place === undefined || !retryBudget.takeRetry()) {
+                place?.release();
+                await clock.sleep(moveRetryMilliseconds, attemptEnd.signal);
+                continue;
+            }
+            log.request(envelope.requestId, "stream moved", {
+                from: upstream.id,
+                to: place.upstream.id,
+                silentFor: Math.round(silence()),
+                afterEvent: progress.lastEventId,
+            });
+            attemptEnd.abort();
+            return place;
+        }
+        return undefined;
+    };
+
     const finish = (context: RequestContext, progress: StreamProgress, attempts: AttemptHistory): void => {
         const durationMilliseconds = clock.now() - context.arrivedAt;
         context.sink.end();
@@ -259,7 +314,11 @@
                 afterEvent: progress.lastEventId,
             });
             const observed = crashObserver.begin(upstream, envelope.requestId, context.traits);
-            let result = await attempt(context, reservation, observed, progress);
+            const attemptEnd = new AbortController();
+            const endAttempt = (): void => attemptEnd.abort();
+            signal.addEventListener("abort", endAttempt, { once: true });
+            const moved = moveWhenSilent(context, reservation, attempts, progress, attemptEnd);
+            let result = await attempt(context, reservation, observed, progress, attemptEnd.signal);
             if (result.kind === "other") {
                 const { response } = result;
                 const isFinalAttempt = response.status < serverErrorStatus
@@ -270,6 +329,9 @@
                     : { kind: "broken", reason: `status ${response.status}` };
                 response.close();
             }
+            signal.removeEventListener("abort", endAttempt);
+            endAttempt();
+            const placeElsewhere = await moved;
             const crashCheck = result.kind === "broken" && !signal.aborted
                 ? observed.breakOff()
                 : observed.end(result.kind === "complete" && progress.events > 0);
@@ -278,6 +340,7 @@
             admission.retryQueued();
             attempts.excluded.add(upstream.id);
             if (result.kind === "complete") {
+                placeElsewhere?.release();
                 attempts.reached.add(upstream.id);
                 finish(context, progress, attempts);
                 return;
@@ -290,6 +353,11 @@
                 await crashCheck;
             }
             lastReason = result.kind === "other" ? "" : result.reason;
+            if (placeElsewhere !== undefined && !signal.aborted && !isHeldBack(context, attempts)) {
+                reservation = placeElsewhere;
+                continue;
+            }
+            placeElsewhere?.release();
             reservation = mayRetry(context, attempts, result)
                 ? await reserveForResume(context, attempts, progress)
                 : undefined;
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -19,10 +19,11 @@
 import type { UnaryScheduler } from "./unaryScheduler.js";
 import {
     type AttemptTimeouts,
+    type BodyReader,
+    createBodyReader,
     type FailedAttempt,
     findResponseFault,
     isUpstreamAbsent,
-    readFullBody,
     type UpstreamResponse,
 } from "./upstreamAttempt.js";
 
@@ -39,7 +40,11 @@
     /** The upstream executed the request and responded with a 5xx status of its own. */
     | { kind: "failed"; response: UpstreamResponse; body: Buffer[]; };
 
-const classifyResponse = async (response: UpstreamResponse, requestId: string): Promise<AttemptResult> => {
+const classifyResponse = async (
+    response: UpstreamResponse,
+    requestId: string,
+    readFullBody: BodyReader,
+): Promise<AttemptResult> => {
     const fault = findResponseFault(response, requestId);
     if (fault !== undefined) {
         response.close();
@@ -55,6 +60,8 @@
 export const createUnaryTask = (scheduler: UnaryScheduler, dependencies: RequestDependencies) => {
     const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, random } = dependencies;
 
+    const readFullBody = createBodyReader();
+
     const attempt = async (context: RequestContext, upstream: KnownUpstream): Promise<AttemptResult> => {
         const {
             envelope,
@@ -85,7 +92,7 @@
         const responseOrFailure = await send(upstream, metadata, timeouts, signal);
         return responseOrFailure.isErr()
             ? responseOrFailure.error
-            : classifyResponse(responseOrFailure.value, envelope.requestId);
+            : classifyResponse(responseOrFailure.value, envelope.requestId, readFullBody);
     };
 
     const deliver = (
--- a/src/coordination/ingress/upstreamAttempt.ts
+++ b/src/coordination/ingress/upstreamAttempt.ts
@@ -61,13 +61,31 @@
 /** Whether the failure shows that the upstream is not at its address. */
 export const isUpstreamAbsent = ({ kind }: FailedAttempt): boolean => kind === "unreachable" || kind === "misdirected";
 
-/** The complete body; undefined if the response was cut off. */
-export const readFullBody = async (response: UpstreamResponse): Promise<Buffer[] | undefined> => {
-    const chunks: Buffer[] = [];
-    for await (const chunk of response.body) {
-        chunks.push(chunk);
-    }
-    return response.isComplete() ? chunks : undefined;
+/** Reads complete bodies; undefined if a response was cut off or is too long. */
+export type BodyReader = (response: UpstreamResponse) => Promise<Buffer[] | undefined>;
+
+const maximumBodyBytes = 16_777_216;
+/** Bounds the memory of an entry whose upstreams send bytes without end. */
+const maximumBodyBytesAtOnce = 50_331_648;
+
+/** Creates a reader that bounds the bytes of each body, and those of all bodies that are being read at once. */
+export const createBodyReader = (): BodyReader => {
+    let bytesAtOnce = 0;
+    return async response => {
+        const chunks: Buffer[] = [];
+        let length = 0;
+        for await (const chunk of response.body) {
+            length += chunk.length;
+            bytesAtOnce += chunk.length;
+            if (length > maximumBodyBytes || bytesAtOnce > maximumBodyBytesAtOnce) {
+                response.close();
+                break;
+            }
+            chunks.push(chunk);
+        }
+        bytesAtOnce -= length;
+        return response.isComplete() ? chunks : undefined;
+    };
 };
 
 /** Sends the caller's request to `upstream` and resolves once the response headers have arrived. */
--- a/src/standin/keyedStore.ts
+++ b/src/standin/keyedStore.ts
@@ -118,7 +118,8 @@
                     sendJson(response, 410, { first: topic.firstOffset });
                     return;
                 }
-                await waitForRecord(topic, from, Number(query.get("waitMs") ?? 0));
+                const waitMilliseconds = Number(query.get("waitMs") ?? 0);
+                await waitForRecord(topic, from, Number.isInteger(waitMilliseconds) ? waitMilliseconds : 0);
                 const offsets = Buffer.alloc(2 * offsetBytes);
                 offsets.writeBigUInt64BE(BigInt(endOffset(topic)), 0);
                 offsets.writeBigUInt64BE(BigInt(topic.firstOffset), offsetBytes);
--- a/src/standin/sealedServer.ts
+++ b/src/standin/sealedServer.ts
@@ -6,7 +6,7 @@
  */
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { headerNames } from "../../platform/names.js";
 
 /**
@@ -17,8 +17,27 @@
  * - `unframed`: sends no length and closes in the middle of the body, which looks like its regular end.
  * - `mute`: never responds.
  * - `error`: executes the request and responds with status 500.
+ * - `extra`: sends a second complete response a little after the first, on the same connection.
+ * - `cut-in-head`, `cut-in-chunk-size`, `cut-before-last-chunk`: closes the connection in an orderly way at that place.
+ * - `endless-head`, `endless-body`: sends bytes without end that belong to no header field, or to a body without length.
+ * - `drip`: after two events, sends one byte of the next now and then.
+ * - `slow`: pauses for 1.2 s between the second and the third event.
  */
-export type ServerFault = "not-run" | "crossed" | "unsealed" | "cut" | "unframed" | "mute" | "error";
+export type ServerFault =
+    | "not-run"
+    | "crossed"
+    | "unsealed"
+    | "cut"
+    | "unframed"
+    | "mute"
+    | "error"
+    | "extra"
+    | RawFault
+    | "drip"
+    | "slow";
+
+/** Faults that are written to the connection byte by byte. */
+type RawFault = "cut-in-head" | "cut-in-chunk-size" | "cut-before-last-chunk" | "endless-head" | "endless-body";
 
 /** A request as the server received it. */
 export type ReceivedRequest = {
@@ -60,6 +79,40 @@
 };
 
 const eventStreamContentType = "text/event-stream";
+const dripMilliseconds = 30;
+const slowPauseMilliseconds = 1_200;
+const extraResponseMilliseconds = 10;
+const endlessBytes = Buffer.alloc(65_536, "x");
+
+/** Writes bytes to the connection for as long as it is open. */
+const writeEndlessly = (socket: Socket): void => {
+    const writeMore = (): void => {
+        if (!socket.destroyed) {
+            socket.write(endlessBytes, () => setImmediate(writeMore));
+        }
+    };
+    socket.on("error", () => undefined);
+    writeMore();
+};
+
+/** What each raw fault sends after the given head, which has no framing yet. */
+const rawFaults: Record<RawFault, (socket: Socket, head: string, body: string) => void> = {
+    "cut-in-head": (socket, head) => void socket.end(head.slice(0, head.length / 2)),
+    "cut-in-chunk-size": (socket, head, body) =>
+        void socket.end(`${head}Transfer-Encoding: chunked\r\n\r\n${body.length.toString(16)}\r\n${body}\r\n1`),
+    "cut-before-last-chunk": (socket, head, body) =>
+        void socket.end(`${head}Transfer-Encoding: chunked\r\n\r\n${body.length.toString(16)}\r\n${body}\r\n`),
+    "endless-head": (socket, head) => {
+        socket.write(`${head}X-Filler: `);
+        writeEndlessly(socket);
+    },
+    "endless-body": (socket, head) => {
+        socket.write(`${head}\r\n`);
+        writeEndlessly(socket);
+    },
+};
+
+const isRawFault = (fault: ServerFault | undefined): fault is RawFault => fault !== undefined && fault in rawFaults;
 
 export const startSealedServer = async (id: string, options: SealedServerOptions = {}): Promise<SealedServer> => {
     const {
@@ -81,6 +134,11 @@
         [headerNames.answeringUpstream]: currentId,
     });
 
+    const rawHead = (requestId: string, contentType: string): string => {
+        const fields = Object.entries({ ...sealHeaders(requestId), "Content-Type": contentType });
+        return `HTTP/1.1 200 OK\r\n${fields.map(([name, value]) => `${name}: ${value}\r\n`).join("")}`;
+    };
+
     /** Closes the connection in the middle of a response without length. */
     const endWithoutFraming = (
         response: ServerResponse,
@@ -88,13 +146,7 @@
         contentType: string,
         partialBody: string,
     ): void => {
-        const fields = Object.entries({
-            ...sealHeaders(requestId),
-            "Content-Type": contentType,
-            "Connection": "close",
-        });
-        const head = fields.map(([name, value]) => `${name}: ${value}\r\n`).join("");
-        response.socket?.end(`HTTP/1.1 200 OK\r\n${head}\r\n${partialBody}`);
+        response.socket?.end(`${rawHead(requestId, contentType)}Connection: close\r\n\r\n${partialBody}`);
     };
 
     const sendEventStream = (
@@ -113,9 +165,28 @@
             );
             return;
         }
+        if (isRawFault(fault)) {
+            const events = [1, 2].map(step => `id: ${lastEventId + step}\ndata: piece ${lastEventId + step}\n\n`);
+            rawFaults[fault](response.socket as Socket, rawHead(requestId, eventStreamContentType), events.join(""));
+            return;
+        }
         response.writeHead(200, { ...sealHeaders(requestId), "Content-Type": eventStreamContentType });
         let nextEventId = lastEventId + 1;
+        let resumesAt = 0;
         const timer = setInterval(() => {
+            if (fault === "drip" && nextEventId > lastEventId + 2) {
+                clearInterval(timer);
+                response.write(`id: ${nextEventId}\ndata: `);
+                const drip = setInterval(() => response.write("x"), dripMilliseconds);
+                response.once("close", () => clearInterval(drip));
+                return;
+            }
+            if (fault === "slow" && nextEventId === lastEventId + 3) {
+                resumesAt ||= performance.now() + slowPauseMilliseconds;
+                if (performance.now() < resumesAt) {
+                    return;
+                }
+            }
             if (fault === "cut" && nextEventId > lastEventId + 2) {
                 response.write(`id: ${nextEventId}\ndata: ha`);
                 clearInterval(timer);
@@ -142,6 +213,17 @@
             endWithoutFraming(response, requestId, "text/plain", body.slice(0, 5));
             return;
         }
+        if (isRawFault(fault)) {
+            rawFaults[fault](response.socket as Socket, rawHead(requestId, "text/plain"), body);
+            return;
+        }
+        if (fault === "extra") {
+            const { socket } = response;
+            setTimeout(() => {
+                const second = `second answer to ${requestId}`;
+                socket?.write(`${rawHead(requestId, "text/plain")}Content-Length: ${second.length}\r\n\r\n${second}`);
+            }, extraResponseMilliseconds);
+        }
         const seal = fault === "unsealed" ? { [headerNames.requestId]: requestId } : sealHeaders(requestId);
         response.writeHead(fault === "error" ? 500 : 200, { ...seal, "Content-Length": Buffer.byteLength(body) });
         if (fault === "cut") {
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -31,8 +31,8 @@
     startDraining: () => void;
     /** Accepts no new connections and closes idle ones. */
     closeIdle: () => void;
-    /** Number of requests that are being read or handled. */
-    inProgress: () => number;
+    /** Whether a request is being read or handled, or a connection was accepted whose first request may be on its way. */
+    isBusy: () => boolean;
     close: () => void;
 };
 
@@ -47,6 +47,8 @@
 const keepAliveMarginMilliseconds = 2_000;
 /** A caller that leaves this much of its response unread is disconnected, as the response would fill the memory. */
 const maximumUnreadBytes = 4_194_304;
+/** A caller sends its first request as soon as its connection is established. */
+const firstRequestMilliseconds = 500;
 /** Enough for all callers of a zone to reconnect at once after a restart. */
 const listenBacklog = 1_024;
 
@@ -66,8 +68,10 @@
     response: ServerResponse,
     requestIdHeader: string,
     requestId: string | undefined,
+    beforeHead: () => void,
 ): ResponseSink => {
     const refuse = (refused: Refusal): void => {
+        beforeHead();
         const body = JSON.stringify(errorBody(refused));
         response.writeHead(refused.status, {
             "Content-Type": "application/json",
@@ -81,6 +85,7 @@
     const abort = (): void => void response.destroy();
     return {
         start: (status, headers) => {
+            beforeHead();
             response.sendDate = false;
             response.writeHead(status, headers);
             response.flushHeaders();
@@ -120,25 +125,33 @@
     } = options;
     let isDraining = false;
     let inProgress = 0;
+    /** Connections without a request so far, with the time at which they were accepted. */
+    const unusedConnections = new Map<Socket, number>();
+    /** Requests of a connection that have no complete response yet; there are several if they are pipelined. */
+    const openRequests = new Map<Socket, number>();
 
     const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
         const arrivedAt = performance.now();
-        if (isDraining || shouldCloseConnections()) {
-            response.shouldKeepAlive = false;
-        }
         response.on("error", onError);
         // A response that started before draining has announced keep-alive; another request on its connection could not
         // finish.
         response.once("finish", () => {
-            if (isDraining) {
+            if (isDraining && openRequests.get(message.socket) === 1) {
                 message.socket.end();
             }
         });
         const requestId = message.headers[headerAdapter.requestIdHeader];
+        const announceClose = (): void => {
+            // A connection with further requests that have been read stays open for their responses.
+            if ((isDraining || shouldCloseConnections()) && openRequests.get(message.socket) === 1) {
+                response.shouldKeepAlive = false;
+            }
+        };
         const sink = createResponseSink(
             response,
             headerAdapter.requestIdHeader,
             typeof requestId === "string" ? requestId : undefined,
+            announceClose,
         );
         const callerGone = disconnectSignal(response);
         const { bodyBytes } = limits() ?? defaultLimits;
@@ -157,6 +170,18 @@
         noDelay: true,
     }, (message, response) => {
         inProgress += 1;
+        unusedConnections.delete(message.socket);
+        openRequests.set(message.socket, (openRequests.get(message.socket) ?? 0) + 1);
+        // Counts a request until its response has been sent, which is later than its handling ends if it was pipelined.
+        response.once("close", () => {
+            const remaining = (openRequests.get(message.socket) ?? 1) - 1;
+            if (remaining === 0) {
+                openRequests.delete(message.socket);
+            }
+            else {
+                openRequests.set(message.socket, remaining);
+            }
+        });
         serve(message, response)
             .catch((error: unknown) => {
                 // The caller disconnected while its request was read, or the handler failed; no complete response is
@@ -169,7 +194,11 @@
             });
     });
     server.on("clientError", sendClientError);
-    server.on("connection", (socket: Socket) => socket.on("error", () => socket.destroy()));
+    server.on("connection", (socket: Socket) => {
+        socket.on("error", () => socket.destroy());
+        unusedConnections.set(socket, performance.now());
+        socket.once("close", () => unusedConnections.delete(socket));
+    });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen({ ...splitAddress(address), backlog: listenBacklog }, resolve);
@@ -184,7 +213,11 @@
             server.close();
             server.closeIdleConnections();
         },
-        inProgress: () => inProgress,
+        isBusy: () => {
+            const acceptedSince = performance.now() - firstRequestMilliseconds;
+            return inProgress > 0 || openRequests.size > 0
+                || [...unusedConnections.values()].some(acceptedAt => acceptedAt > acceptedSince);
+        },
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -339,10 +339,11 @@
             const startedAt = clock.now();
             const graceMilliseconds = config.graceSeconds * 1_000 - shutdownMarginMilliseconds;
             await clock.sleep(idleCloseDelayMilliseconds, signal);
-            while (callers.inProgress() > 0 && clock.now() - startedAt < graceMilliseconds) {
+            do {
                 callers.closeIdle();
                 await clock.sleep(drainCheckMilliseconds, signal);
             }
+            while (callers.isBusy() && clock.now() - startedAt < graceMilliseconds);
             callers.close();
             await Promise.all([readiness.close(), metricsServer.close(), relay.close()]);
         },
--- a/tests/ingress/endToEnd.test.ts
+++ b/tests/ingress/endToEnd.test.ts
@@ -279,6 +279,16 @@
         });
     });
 
+    it("waits for changes of the store with hanging polls, a few calls a second over all entries", async () => {
+        const fleet = await startPlatformDeployment(true, 3);
+        await fleet.waitUntil(() => fleet.logLines.filter(({ event }) => event === "topic read").length >= 12);
+        const before = fleet.store.requestCount();
+        await new Promise(resolve => setTimeout(resolve, 1_500));
+        const calls = fleet.store.requestCount() - before;
+        await fleet.stop();
+        expect(calls).to.be.lessThan(12);
+    });
+
     it("accepts no request on a connection whose stream ended after the stop", async () => {
         await serve("model", 1, { events: 300, eventMilliseconds: 10 });
         const agent = new Agent({ keepAlive: true, maxSockets: 1 });
