Spread streams over ranks only as far as counts are stale

Change: an entry estimates how many streams the others have started since their counts (its own rate of starts, the ages of the counts). Below one it takes the least loaded group and rank; otherwise the group by the square of its free places and the rank as the best of a sample, the smaller the more streams are unseen, at least two.

--- a/src/coordination/ingress/chooseByFreePlaces.ts
+++ b/src/coordination/ingress/chooseByFreePlaces.ts
@@ -1,21 +1,53 @@
 /**
- * Random choice among groups or upstreams, weighted by the square of their free places.
+ * Choice of a group and of a rank for a stream by their free places.
  *
- * Answers many entries that choose by counts which are some tenths of a second old. If all chose the least loaded
- * candidate, the same few would be chosen until the next counts arrive: with 99 entries, servers at half load turned
- * away nearly as many streams as they took. The square keeps the choice close to the least loaded one where counts are
- * fresh.
+ * Answers many entries that choose by counts of each other which are some tenths of a second old. If all took the least
+ * loaded candidate, the same few would be taken until the next counts arrive: with 99 entries, servers at half load
+ * turned away nearly as many streams as they took. Where counts are fresh, the least loaded candidate is the best, as a
+ * group runs at the pace of its most loaded rank. The choice therefore depends on how many streams the other entries
+ * have started that the counts don't show yet.
  */
 
-/** `freePlaces` may be zero or less for a candidate that is full; undefined if all are. */
-export const chooseByFreePlaces = <Candidate>(
+export type ChoiceOptions<Candidate> = {
+    /** Zero or less for a candidate that is full. */
+    freePlaces: (candidate: Candidate) => number;
+    /** Streams that the other entries are expected to have started since their counts. */
+    unseenStarts: number;
+    random: () => number;
+};
+
+/** Below this many unseen streams the counts are taken as they are. */
+const fewUnseenStarts = 1;
+/** Two random candidates are enough to avoid the most loaded ones. */
+const minimumSample = 2;
+
+/** The candidate with the most free places, any of those with equally many; undefined if all are full. */
+const mostFree = <Candidate>(
+    candidates: readonly Candidate[],
+    { freePlaces, random }: ChoiceOptions<Candidate>,
+): Candidate | undefined => {
+    const startIndex = Math.floor(random() * candidates.length);
+    let best: Candidate | undefined;
+    let bestPlaces = 0;
+    for (let offset = 0; offset < candidates.length; offset += 1) {
+        const candidate = candidates[(startIndex + offset) % candidates.length] as Candidate;
+        const places = freePlaces(candidate);
+        if (places > bestPlaces) {
+            best = candidate;
+            bestPlaces = places;
+        }
+    }
+    return best;
+};
+
+/** A random candidate, weighted by the square of its free places; undefined if all are full. */
+const weightedByFreePlaces = <Candidate>(
     candidates: readonly Candidate[],
-    freePlaces: (candidate: Candidate) => number,
-    random: () => number,
+    { freePlaces, random }: ChoiceOptions<Candidate>,
 ): Candidate | undefined => {
-    const weighted = candidates.map(candidate => ({ candidate, weight: Math.max(0, freePlaces(candidate)) ** 2 }));
-    let remaining = random() * weighted.reduce((total, { weight }) => total + weight, 0);
-    const open = weighted.filter(({ weight }) => weight > 0);
+    const open = candidates.map(candidate => ({ candidate, weight: Math.max(0, freePlaces(candidate)) ** 2 }))
+        .filter(({ weight }) => weight > 0);
+    let remaining = random() * open.reduce((total, { weight }) => total + weight, 0);
     for (const { candidate, weight } of open) {
         remaining -= weight;
         if (remaining < 0) {
@@ -24,3 +56,27 @@
     }
     return open.at(-1)?.candidate;
 };
+
+/** For few candidates with many places each. */
+export const chooseGroup = <Candidate>(
+    candidates: readonly Candidate[],
+    options: ChoiceOptions<Candidate>,
+): Candidate | undefined =>
+    (options.unseenStarts < fewUnseenStarts ? mostFree : weightedByFreePlaces)(candidates, options);
+
+/** For many candidates with few places each: the best of a sample that is the smaller, the more streams are unseen. */
+export const chooseRank = <Candidate>(
+    candidates: readonly Candidate[],
+    options: ChoiceOptions<Candidate>,
+): Candidate | undefined => {
+    const { unseenStarts, random } = options;
+    if (unseenStarts < fewUnseenStarts) {
+        return mostFree(candidates, options);
+    }
+    const sampleSize = Math.max(minimumSample, Math.round(candidates.length / (1 + unseenStarts)));
+    const sample = Array.from(
+        { length: Math.min(sampleSize, candidates.length) },
+        () => candidates[Math.floor(random() * candidates.length)] as Candidate,
+    );
+    return mostFree(sample, options) ?? weightedByFreePlaces(candidates, options);
+};
--- a/src/coordination/ingress/peerStatusTable.ts
+++ b/src/coordination/ingress/peerStatusTable.ts
@@ -40,6 +40,8 @@
     record: (status: EntryStatus, sender: string) => void;
     /** Number of requests that the other entries run on an upstream. */
     runningOn: (id: string) => number;
+    /** Sum of the ages of the other entries' counts: how much time of one entry the counts don't show. */
+    countAgeSeconds: () => number;
     /** Mean of the other entries' concurrency limits for a group; undefined if none has one. */
     limitOf: (group: string) => number | undefined;
     /** Number of live entries, including this one. */
@@ -61,12 +63,15 @@
 /** Seven messages in a row of all other zones. */
 const zoneIsolationMilliseconds = 750;
 
+const millisecondsPerSecond = 1_000;
+
 type ReceivedStatus = { status: EntryStatus; receivedAt: number; };
 
 export const createPeerStatusTable = (clock: Pick<Clock, "now">, log: IngressLog): PeerStatusTable => {
     const received = new Map<string, ReceivedStatus>();
     let runningByUpstream = new Map<string, number>();
     let totalsComputedAt = -Infinity;
+    let countAgeSeconds = 0;
     let otherZonesReceivedAt: number | undefined;
     let maximumPeersSeen = 0;
     /** Totals are cached for this long, as every admitted request reads them. */
@@ -89,7 +94,10 @@
         if (clock.now() - totalsComputedAt >= totalsMaximumAgeMilliseconds) {
             runningByUpstream = new Map();
             totalsComputedAt = clock.now();
-            for (const { status } of freshStatuses()) {
+            const fresh = freshStatuses();
+            countAgeSeconds = fresh.reduce((total, { receivedAt }) => total + clock.now() - receivedAt, 0)
+                / millisecondsPerSecond;
+            for (const { status } of fresh) {
                 for (const [id, count] of Object.entries(status.running)) {
                     runningByUpstream.set(id, (runningByUpstream.get(id) ?? 0) + count);
                 }
@@ -123,6 +131,10 @@
             return otherZonesReceivedAt !== undefined && clock.now() - otherZonesReceivedAt > zoneIsolationMilliseconds;
         },
         runningOn: id => currentTotals().get(id) ?? 0,
+        countAgeSeconds: () => {
+            currentTotals();
+            return countAgeSeconds;
+        },
         limitOf: group => {
             const limits = freshStatuses().flatMap(({ status }) => status.limits[group] ?? []);
             return limits.length === 0 ? undefined : limits.reduce((total, limit) => total + limit, 0) / limits.length;
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -1,12 +1,12 @@
 /**
  * Selects the lock-step group and the rank for each stream, and reserves capacity there.
  *
- * Stream counts include those of all entries. Among the groups below their concurrency limits, and then among the ranks
- * of the group, one is chosen at random by its free places (see `chooseByFreePlaces.ts`).
+ * Stream counts include those of all entries. A group below its concurrency limit is chosen, and then one of its ranks,
+ * by their free places (see `chooseByFreePlaces.ts`).
  */
 import type { GroupMembership } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
-import { chooseByFreePlaces } from "./chooseByFreePlaces.js";
+import { chooseGroup, chooseRank } from "./chooseByFreePlaces.js";
 import type { DeploymentState, KnownUpstream } from "./deploymentState.js";
 import { createGroupConcurrencyLimit, type GroupConcurrencyLimit } from "./groupConcurrencyLimit.js";
 import { createGroupStallDetector, type GroupProgress, type GroupStallDetector } from "./groupStallDetector.js";
@@ -56,7 +56,7 @@
     health: Pick<UpstreamHealth, "isEjected">;
     pauses: Pick<UpstreamPauses, "isPaused" | "millisecondsUntilFirst">;
     clock: Clock;
-    peerStatuses: Pick<PeerStatusTable, "runningOn" | "limitOf">;
+    peerStatuses: Pick<PeerStatusTable, "runningOn" | "limitOf" | "countAgeSeconds">;
     /** Queries one engine for the state of its group; undefined if it doesn't respond. */
     queryEngine: (upstream: KnownUpstream, signal: AbortSignal) => Promise<GroupProgress | undefined>;
     log: IngressLog;
@@ -67,6 +67,21 @@
 /** Share of the group's slots that is used as its limit until pauses between events are observed. */
 const initialLimitShare = 0.55;
 
+const rateWindowMilliseconds = 1_000;
+
+/** Counts this entry's starts of streams over the last second. */
+const createStartRate = (clock: Pick<Clock, "now">) => {
+    let starts: number[] = [];
+    return {
+        record: (): void => void starts.push(clock.now()),
+        perSecond: (): number => {
+            const since = clock.now() - rateWindowMilliseconds;
+            starts = starts.filter(at => at > since);
+            return starts.length;
+        },
+    };
+};
+
 export const groupOf = ({ group, service }: Pick<KnownUpstream, "group" | "service">): string => group?.name ?? service;
 
 type GroupCandidate = {
@@ -81,6 +96,7 @@
     const concurrencyLimits = new Map<string, GroupConcurrencyLimit>();
     const stallDetectors = new Map<string, GroupStallDetector>();
     const runningByUpstream = new Map<string, number>();
+    const startRate = createStartRate(clock);
 
     const streamCountOn = (id: string): number => (runningByUpstream.get(id) ?? 0) + peerStatuses.runningOn(id);
 
@@ -166,15 +182,16 @@
         upstreams: KnownUpstream[],
         admissionClass: StreamAdmissionClass,
     ): StreamReservation | undefined => {
-        const candidate = chooseByFreePlaces(
+        const unseenStarts = startRate.perSecond() * peerStatuses.countAgeSeconds();
+        const candidate = chooseGroup(
             groupsWithCapacity(upstreams, admissionClass),
-            ({ freePlaces }) => freePlaces,
-            random,
+            { freePlaces: group => group.freePlaces, unseenStarts, random },
         );
-        const upstream = chooseByFreePlaces(candidate?.ranks ?? [], freeSlotsOf, random);
+        const upstream = chooseRank(candidate?.ranks ?? [], { freePlaces: freeSlotsOf, unseenStarts, random });
         if (candidate === undefined || upstream === undefined) {
             return undefined;
         }
+        startRate.record();
         const { concurrencyLimit } = candidate;
         const stallDetector = stallDetectorOf(candidate.group);
         let hasStarted = false;
--- a/tests/ingress/streamOverload.test.ts
+++ b/tests/ingress/streamOverload.test.ts
@@ -64,7 +64,7 @@
         health,
         pauses: createUpstreamPauses(clock, log),
         clock,
-        peerStatuses: { runningOn: () => 0, limitOf: () => undefined },
+        peerStatuses: { runningOn: () => 0, limitOf: () => undefined, countAgeSeconds: () => 0 },
         queryEngine: async () => undefined,
         log,
         random,
--- a/tests/ingress/streamPlacing.test.ts
+++ b/tests/ingress/streamPlacing.test.ts
@@ -4,7 +4,7 @@
  */
 import { expect } from "chai";
 import { setMaxListeners } from "node:events";
-import { chooseByFreePlaces } from "../../src/coordination/ingress/chooseByFreePlaces.js";
+import { chooseGroup, chooseRank } from "../../src/coordination/ingress/chooseByFreePlaces.js";
 import type { KnownUpstream } from "../../src/coordination/ingress/deploymentState.js";
 import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
 import { createStreamScheduler } from "../../src/coordination/ingress/streamScheduler.js";
@@ -56,6 +56,7 @@
                 runningOn: id => (toldTotals.get(id) ?? 0) - (told[entry]?.get(id) ?? 0),
                 // The groups bear all their slots, so that only the placing decides.
                 limitOf: () => ranksPerGroup * slots,
+                countAgeSeconds: () => (entries - 1) * tellMilliseconds / 2 / 1_000,
             },
             queryEngine: async () => undefined,
             log,
@@ -131,18 +132,34 @@
 });
 
 describe("choice by free places", () => {
+    const options = (unseenStarts: number, seed: number) => ({
+        freePlaces: (places: number) => places,
+        unseenStarts,
+        random: seededRandom(seed),
+    });
+
     it("never takes a candidate that is full, and none if all are", () => {
-        const random = seededRandom(3);
-        for (let choice = 0; choice < 200; choice += 1) {
-            expect(chooseByFreePlaces([0, 3, -2, 1], places => places, random)).to.be.oneOf([3, 1]);
+        for (const choose of [chooseGroup, chooseRank]) {
+            for (const unseenStarts of [0, 5, 100]) {
+                const choice = options(unseenStarts, 3);
+                for (let turn = 0; turn < 200; turn += 1) {
+                    expect(choose([0, 3, -2, 1], choice)).to.be.oneOf([3, 1]);
+                }
+                expect(choose([0, -1], choice)).to.equal(undefined);
+                expect(choose([], choice)).to.equal(undefined);
+            }
+        }
+    });
+
+    it("takes the candidate with the most free places while the counts are fresh", () => {
+        for (const choose of [chooseGroup, chooseRank]) {
+            expect(choose([2, 5, 4], options(0.5, 1))).to.equal(5);
         }
-        expect(chooseByFreePlaces([0, -1], places => places, random)).to.equal(undefined);
-        expect(chooseByFreePlaces([], places => places, random)).to.equal(undefined);
     });
 
-    it("prefers the candidate with more free places by the square of their ratio", () => {
-        const random = seededRandom(4);
-        const chosen = Array.from({ length: 5_000 }, () => chooseByFreePlaces([1, 3], places => places, random));
+    it("prefers the group with more free places by the square of their ratio while many streams are unseen", () => {
+        const choice = options(100, 4);
+        const chosen = Array.from({ length: 5_000 }, () => chooseGroup([1, 3], choice));
         expect(chosen.filter(places => places === 3).length / 5_000).to.be.within(0.87, 0.93);
     });
 });
