Watch all calls to other entries in one task, and find turns only when due

Cause: each poll at another entry had a watch of its own that chose anew ten times a second, and the turn with the store was computed twenty times a second by sorting all entries. Change: one watch for all calls; the turn is found once a probe is due.

--- a/src/coordination/ingress/sharedRecords.ts
+++ b/src/coordination/ingress/sharedRecords.ts
@@ -87,6 +87,8 @@
     /** Topics that the store itself must be asked for, as it came back from an older copy or dropped its history. */
     const topicsToReread = new Set<FeedTopic>();
     const lastPollAt = new Map<FeedTopic, number>();
+    /** Running calls to other entries, with the entries' hosts. */
+    const peerCalls = new Map<AbortController, string>();
     let served = true;
     let ownContactAt: number | undefined;
     let nextOutageTryAt = -Infinity;
@@ -182,20 +184,11 @@
         const call = new AbortController();
         const abort = (): void => call.abort();
         callerSignal.addEventListener("abort", abort, { once: true });
-        const watch = async (): Promise<void> => {
-            while (!call.signal.aborted) {
-                await clock.sleep(choiceCheckMilliseconds, call.signal);
-                const choice = choose();
-                if (choice.kind !== "peer" || choice.host !== peer) {
-                    abort();
-                }
-            }
-        };
-        void watch();
+        peerCalls.set(call, peer);
         const result = await read(peers.sourceOf(peer), call.signal);
         const wasAborted = call.signal.aborted;
         callerSignal.removeEventListener("abort", abort);
-        abort();
+        peerCalls.delete(call);
         if (result.isOk() || result.error.kind === "truncated") {
             return result;
         }
@@ -336,7 +329,20 @@
         }
     };
 
+    /** Ends the calls to an entry that should not be read from any more. */
+    const watchPeerCalls = async (): Promise<void> => {
+        while (!signal.aborted) {
+            await clock.sleep(choiceCheckMilliseconds, signal);
+            if (peerCalls.size > 0) {
+                const choice = choose();
+                [...peerCalls].filter(([, peer]) => choice.kind !== "peer" || choice.host !== peer)
+                    .forEach(([call]) => call.abort());
+            }
+        }
+    };
+
     void regainStore();
+    void watchPeerCalls();
     return {
         source: { readAll, readNewer },
         store,
--- a/src/coordination/ingress/storeMonitor.ts
+++ b/src/coordination/ingress/storeMonitor.ts
@@ -77,10 +77,13 @@
                 lastContact = Math.max(lastContact ?? -Infinity, clock.now() - contactAge);
             }
         },
-        millisecondsUntilProbe: () =>
-            (lastContact ?? -Infinity) + probeAfterMilliseconds
-            + Math.min(probeOrder(), maximumProbeOrder) * probeStaggerMilliseconds
-            - clock.now(),
+        millisecondsUntilProbe: () => {
+            const firstProbeIn = (lastContact ?? -Infinity) + probeAfterMilliseconds - clock.now();
+            // The turn is costly to find among many entries, and matters only once the first probe is due.
+            return firstProbeIn > 0
+                ? firstProbeIn
+                : firstProbeIn + Math.min(probeOrder(), maximumProbeOrder) * probeStaggerMilliseconds;
+        },
         isBehind,
         isInOlderEra: topic => (peerPositions.get(topic)?.era ?? 0) > (ownPositions.get(topic)?.era ?? Infinity),
         lastContact: () => lastContact,
