Let one entry read the store for all zones

Change: the readers of the zones read from the first of them. Entries of other zones count as silent after three missing messages of their zone, like those of the own one.

--- a/src/coordination/ingress/gossipSchedule.ts
+++ b/src/coordination/ingress/gossipSchedule.ts
@@ -51,6 +51,10 @@
 export const zoneIntervalMilliseconds = (peers: number): number =>
     Math.max(shortestIntervalMilliseconds, peers * intervalPerZonePeerMilliseconds);
 
+/** Interval of the messages of a zone to the `peers` entries of the other zones. */
+export const remoteIntervalMilliseconds = (peers: number): number =>
+    Math.max(shortestIntervalMilliseconds, peers * intervalPerRemotePeerMilliseconds);
+
 export const startGossipSchedule = (options: GossipScheduleOptions): GossipSchedule => {
     const { host, availabilityZone, others, peerStatuses, ownStatus, send, clock, signal } = options;
 
@@ -85,11 +89,7 @@
                 );
                 send(addressesOf(known), [ownStatus(), ...received]);
             }
-            const intervalMilliseconds = Math.max(
-                shortestIntervalMilliseconds,
-                known.length * intervalPerRemotePeerMilliseconds,
-            );
-            await clock.sleep(intervalMilliseconds * relays.length, signal);
+            await clock.sleep(remoteIntervalMilliseconds(known.length) * relays.length, signal);
         }
     };
 
--- a/src/coordination/ingress/recordPeers.ts
+++ b/src/coordination/ingress/recordPeers.ts
@@ -3,7 +3,7 @@
  * them.
  */
 import type { Clock } from "../../state/types.js";
-import { type PeerEntry, zoneIntervalMilliseconds } from "./gossipSchedule.js";
+import { type PeerEntry, remoteIntervalMilliseconds, zoneIntervalMilliseconds } from "./gossipSchedule.js";
 import type { EntryStatus, PeerStatusTable } from "./peerStatusTable.js";
 import type { RecordSource } from "./recordSource.js";
 import type { RecordPeers } from "./sharedRecords.js";
@@ -18,7 +18,7 @@
     clock: Pick<Clock, "now">;
 };
 
-/** An entry of the own zone counts as silent after this many of its regular messages are missing. */
+/** An entry counts as silent after this many of its regular messages are missing. */
 const missedMessages = 3;
 const minimumSilenceMilliseconds = 600;
 
@@ -34,16 +34,21 @@
 
     const isOwnZone = (entry: { availabilityZone: string; }): boolean => entry.availabilityZone === availabilityZone;
 
-    const silenceMilliseconds = (): number => {
-        const zonePeers = [...knownEntries.values()].filter(isOwnZone).length;
-        return Math.max(minimumSilenceMilliseconds, missedMessages * zoneIntervalMilliseconds(zonePeers));
+    const silenceMilliseconds = (): { ownZone: number; otherZones: number; } => {
+        const entries = [...knownEntries.values()];
+        const zonePeers = entries.filter(isOwnZone).length;
+        const missed = (intervalMilliseconds: number): number =>
+            Math.max(minimumSilenceMilliseconds, missedMessages * intervalMilliseconds);
+        return {
+            ownZone: missed(zoneIntervalMilliseconds(zonePeers)),
+            otherZones: missed(remoteIntervalMilliseconds(entries.length - zonePeers)),
+        };
     };
 
-    /** Entries of other zones are heard less often, and silent ones leave the table by themselves. */
     const audible = (): { status: EntryStatus; age: number; }[] => {
-        const limit = silenceMilliseconds();
+        const { ownZone, otherZones } = silenceMilliseconds();
         return peerStatuses.live().filter(({ status, age }) =>
-            knownEntries.has(status.host) && (!isOwnZone(status) || age < limit)
+            knownEntries.has(status.host) && age < (isOwnZone(status) ? ownZone : otherZones)
         );
     };
 
--- a/src/coordination/ingress/storeReaders.ts
+++ b/src/coordination/ingress/storeReaders.ts
@@ -2,9 +2,10 @@
  * Decides which entries read the followed topics from the platform's store, and from whom the others get the records.
  *
  * Each availability zone has one reader, the first of its live entries by host name that the store serves; the other
- * entries of the zone read from it. Calls to the store then grow with the number of zones and not with that of entries,
- * and an entry that the store turns away goes on with what its peers read. Every entry decides for itself from what
- * the entries tell each other; entries that disagree for a moment only make more calls.
+ * entries of the zone read from it. The first of these readers reads from the store, the others read from that one. Calls
+ * to the store then don't grow with the number of entries, each record crosses to another zone once, and an entry that
+ * the store turns away goes on with what its peers read. Every entry decides for itself from what the entries tell each
+ * other; entries that disagree for a moment only make more calls.
  */
 
 /** What an entry needs to know of another one to read from it. */
@@ -47,11 +48,16 @@
         availabilityZone === self.availabilityZone;
     const readers = zoneReaders([self, ...peers]);
     const ownReader = readers.find(isOwnZone);
+    const [firstReader] = readers;
     const isPeerExpected = ownReader?.hasRead === false && ownReader !== self
+        || ownReader === self && firstReader !== self && firstReader?.hasRead === false
         || unheard.some(entry => peers.length === 0 || isOwnZone(entry) && entry.host < self.host);
     if (ownReader !== undefined && ownReader !== self && ownReader.hasRead) {
         return { kind: "peer", host: ownReader.host };
     }
+    if (ownReader === self && firstReader !== undefined && firstReader !== self && firstReader.hasRead) {
+        return { kind: "peer", host: firstReader.host };
+    }
     if (self.isStarting && isPeerExpected) {
         return { kind: "wait" };
     }
