End the polls of other entries when an entry stops

A stopping entry waited for the polls that other entries let hang at it, up to 25 s, and so until SIGKILL; a poll that began after the end of its lifetime was not ended either. Answers to callers were not touched by it. Change: the relay ends its reads when it closes, also those that begin later.

--- a/src/transport/ingress/recordRelay.ts
+++ b/src/transport/ingress/recordRelay.ts
@@ -5,6 +5,7 @@
 import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
 import { Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
+import { setMaxListeners } from "node:events";
 import type { FeedFailure, RecordBatch, RecordSource } from "../../coordination/ingress/recordSource.js";
 import {
     decodeRelayRecords,
@@ -20,13 +21,27 @@
 /** Time for an answer in addition to its wait; a configuration with a thousand routes takes a part of it. */
 const answerTimeoutMilliseconds = 900;
 
-/** Serves `records` on `address` (`ip:port`); a read ends when its caller is gone or `signal` aborts. */
-export const serveRecords = (address: string, records: RecordSource, signal: AbortSignal): Promise<Listener> => {
+/**
+ * Serves `records` on `address` (`ip:port`). A read ends when its caller is gone, `signal` aborts or the listener closes,
+ * which would otherwise wait for polls that hang for many seconds.
+ */
+export const serveRecords = async (
+    address: string,
+    records: RecordSource,
+    signal: AbortSignal,
+): Promise<Listener> => {
+    const closing = new AbortController();
+    setMaxListeners(0, closing.signal);
+    const endReads = (): void => closing.abort();
+    signal.addEventListener("abort", endReads, { once: true });
     const application = new Hono<NodeBindings>();
     application.all(`${recordRelayEndpoint}/*`, async ({ req }) => {
         const reading = new AbortController();
         const stop = (): void => reading.abort();
-        signal.addEventListener("abort", stop, { once: true });
+        closing.signal.addEventListener("abort", stop, { once: true });
+        if (closing.signal.aborted) {
+            stop();
+        }
         req.raw.signal.addEventListener("abort", stop, { once: true });
         const response = await fetchRequestHandler({
             endpoint: recordRelayEndpoint,
@@ -34,10 +49,18 @@
             router: recordRelayRouter,
             createContext: () => ({ records, signal: reading.signal }),
         });
-        signal.removeEventListener("abort", stop);
+        closing.signal.removeEventListener("abort", stop);
         return response;
     });
-    return listen(application, address);
+    const listener = await listen(application, address);
+    return {
+        address: listener.address,
+        close: () => {
+            signal.removeEventListener("abort", endReads);
+            endReads();
+            return listener.close();
+        },
+    };
 };
 
 const toResult = (answer: RelayAnswer): Result<RecordBatch, FeedFailure> =>
--- a/tests/ingress/faultyAnswers.test.ts
+++ b/tests/ingress/faultyAnswers.test.ts
@@ -159,6 +159,29 @@
     });
 });
 
+describe("a planned stop while other entries poll the entry for records", () => {
+    it("does not wait for their polls", async () => {
+        const deployment = await startPlatformDeployment(true, 3);
+        await deployment.waitUntil(() =>
+            deployment.logLines.filter(({ event }) => event === "topic read").length >= 12
+        );
+        const server = await startSealedServer("i-0");
+        // The others read this record from the first entry, and then wait there for the next.
+        for (let seq = 1; seq <= 3; seq += 1) {
+            deployment.listUpstream(server, `service-${seq}`, { seq, born: 1_700_000_000_000 + seq });
+            await deployment.waitUntil(() =>
+                deployment.logLines.filter(({ event }) => event === "upstream listed").length >= 3 * seq
+            );
+        }
+        const startedAt = performance.now();
+        await deployment.entry.stop();
+        // Callers have 2.6 s to find another entry.
+        expect(performance.now() - startedAt).to.be.lessThan(4_500);
+        await deployment.stop();
+        await server.close();
+    });
+});
+
 describe("a planned stop while callers arrive", () => {
     let deployment: PlatformDeployment;
     let server: SealedServer;
