Read the limits that servers state, and log when they state and end them

Change: the header is decoded in platform/, statedLimits keeps the latest statement of each run, and its changes are logged and shown in /state. Nothing acts on it yet. The stand-in server can state a limit. Pauses and limits share the key of an upstream's run.

--- a/src/coordination/ingress/headerAdapter.ts
+++ b/src/coordination/ingress/headerAdapter.ts
@@ -28,6 +28,8 @@
     isLeaving: boolean;
     /** How long it asks to be left alone, in seconds as it states them. */
     retryAfter: string | undefined;
+    /** How many requests it takes a second from all entries together, as it states them. */
+    requestsPerSecond: string | undefined;
 };
 
 export type HeaderAdapter = {
--- a/src/coordination/ingress/upstreamPauses.ts
+++ b/src/coordination/ingress/upstreamPauses.ts
@@ -6,18 +6,16 @@
  * other entries nor kept for the upstream's next run. A later, shorter pause does not end an earlier one.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { Upstream } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
 import type { IngressLog } from "./ingressLog.js";
-
-type Run = Pick<Upstream, "id" | "bornAt">;
+import { keyOfRun, type UpstreamRun } from "./upstreamRun.js";
 
 export type UpstreamPauses = {
     /** Records the pause that an upstream asked for, in seconds as it stated them. */
-    record: (upstream: Run, statedSeconds: string) => void;
-    isPaused: (upstream: Run) => boolean;
+    record: (upstream: UpstreamRun, statedSeconds: string) => void;
+    isPaused: (upstream: UpstreamRun) => boolean;
     /** Time until the first of these upstreams takes work again; undefined if there are none or one takes work now. */
-    millisecondsUntilFirst: (upstreams: Run[]) => number | undefined;
+    millisecondsUntilFirst: (upstreams: UpstreamRun[]) => number | undefined;
 };
 
 /** A longer pause is cut to this, so that a server's mistake does not take it out of use for good. */
@@ -35,9 +33,8 @@
 export const createUpstreamPauses = (clock: Pick<Clock, "now">, log: IngressLog): UpstreamPauses => {
     const pausedUntil = new Map<string, number>();
 
-    const keyOf = ({ id, bornAt }: Run): string => `${id} ${bornAt}`;
-
-    const remaining = (upstream: Run): number => (pausedUntil.get(keyOf(upstream)) ?? -Infinity) - clock.now();
+    const remaining = (upstream: UpstreamRun): number =>
+        (pausedUntil.get(keyOfRun(upstream)) ?? -Infinity) - clock.now();
 
     const forgetPast = (): void => {
         [...pausedUntil].filter(([, until]) => until <= clock.now()).forEach(([key]) => pausedUntil.delete(key));
@@ -49,7 +46,7 @@
                 milliseconds => {
                     forgetPast();
                     if (milliseconds > Math.max(0, remaining(upstream))) {
-                        pausedUntil.set(keyOf(upstream), clock.now() + milliseconds);
+                        pausedUntil.set(keyOfRun(upstream), clock.now() + milliseconds);
                         log.stateChange("upstream asks for a pause", { id: upstream.id, milliseconds });
                     }
                 },
--- a/src/standin/sealedServer.ts
+++ b/src/standin/sealedServer.ts
@@ -48,6 +48,8 @@
     body: string;
     /** Whether the server started to execute the request. */
     hasRun: boolean;
+    /** Milliseconds by `performance.now`. */
+    receivedAt: number;
 };
 
 export type SealedServer = {
@@ -61,6 +63,8 @@
     announceLeaving: () => void;
     /** Turns all further requests away with 503 and this `Retry-After`; undefined ends it. */
     askForPause: (retryAfter: string | undefined) => void;
+    /** States this limit of requests a second in all further responses; undefined ends it. */
+    stateLimit: (requestsPerSecond: string | undefined) => void;
     /** Number of event streams whose connection closed before their end, without those of the `cut` fault. */
     abandonedRequestCount: () => number;
     crash: () => void;
@@ -127,6 +131,7 @@
     let abandonedRequestCount = 0;
     let isLeaving = false;
     let retryAfter: string | undefined;
+    let requestsPerSecond: string | undefined;
 
     const sealHeaders = (requestId: string): Record<string, string> => ({
         [headerNames.requestId]: requestId,
@@ -238,6 +243,9 @@
         if (isLeaving) {
             response.setHeader(headerNames.serverLeaving, "1");
         }
+        if (requestsPerSecond !== undefined) {
+            response.setHeader(headerNames.serverLimit, requestsPerSecond);
+        }
         const chunks: Buffer[] = [];
         request.on("data", (chunk: Buffer) => chunks.push(chunk));
         request.on("end", () => {
@@ -253,6 +261,7 @@
                 headers,
                 body: Buffer.concat(chunks).toString("utf8"),
                 hasRun,
+                receivedAt: performance.now(),
             };
             receivedRequests.push(received);
             if (isMisdirected) {
@@ -309,6 +318,9 @@
         askForPause: seconds => {
             retryAfter = seconds;
         },
+        stateLimit: limit => {
+            requestsPerSecond = limit;
+        },
         abandonedRequestCount: () => abandonedRequestCount,
         crash,
         crashCount: () => crashCount,
@@ -316,6 +328,7 @@
             currentId = nextId;
             isLeaving = false;
             retryAfter = undefined;
+            requestsPerSecond = undefined;
             server.listen(port, address);
             await once(server, "listening");
         },
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -22,6 +22,7 @@
 import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
 import { createSharedRecords } from "../../coordination/ingress/sharedRecords.js";
+import { createStatedLimits } from "../../coordination/ingress/statedLimits.js";
 import { createStoreMonitor } from "../../coordination/ingress/storeMonitor.js";
 import { createStreamAdmission } from "../../coordination/ingress/streamAdmission.js";
 import { createStreamScheduler } from "../../coordination/ingress/streamScheduler.js";
@@ -98,6 +99,7 @@
     const state = createDeploymentState(clock, log);
     const health = createUpstreamHealth(clock, log);
     const pauses = createUpstreamPauses(clock, log);
+    const statedLimits = createStatedLimits(clock, log);
     const peerStatuses = createPeerStatusTable(clock, log);
     const retryBudget = createRetryBudget(
         clock,
@@ -273,7 +275,11 @@
             arrivedAt,
             callerDeadlineAt: arrivedAt + patienceMilliseconds,
             responseDueAt,
-            send: withNotices(createSender(platform.headerAdapter, message, body), state, pauses),
+            send: withNotices(
+                createSender(platform.headerAdapter, message, body),
+                { state, pauses, limits: statedLimits },
+                clock,
+            ),
             sink,
             signal: boundedSignal.signal,
             callerGone,
@@ -328,6 +334,7 @@
         upstreams: state.all(),
         groups: streamScheduler.groups(),
         heldBack: crashEvidence.holds(),
+        statedLimits: statedLimits.limits(),
     });
     const metricsServer = await startMetricsServer(config.metrics, metrics.text, describeState);
 
--- a/tests/support/crashingServerModel.ts
+++ b/tests/support/crashingServerModel.ts
@@ -118,6 +118,7 @@
                     isNotRun: false,
                     isLeaving: false,
                     retryAfter: undefined,
+                    requestsPerSecond: undefined,
                 },
                 headers: [],
                 body: body(),
