Keep the requests of all entries within the limits that servers state

A server that names how many requests a second it takes got twice as many: no entry read the header, and none alone sent more than 1.2 a second, so nothing kept inside one entry could have held the sum. Change: one entry decides on each server's requests, by hash among those of the server's zone; the others ask it before each send, also of retries and resumed streams. An entry that hears a part of the others gives that part of the limit. Denied requests go elsewhere, and are refused at once as upstreams-limited with the time until one opens if all servers are at their limits. Why it works: every send needs a permit of one bucket, and buckets of a partition add up to the limit.

--- a/src/coordination/ingress/explanation.ts
+++ b/src/coordination/ingress/explanation.ts
@@ -34,6 +34,10 @@
         "no group had capacity within the share of the latency objective that may be spent queueing",
     ],
     "queue-full": ["load", "the queue was full: more streams were waiting than could start in time"],
+    "upstreams-limited": [
+        "load",
+        "every usable upstream was at the limit on requests that it states, see the limited ones",
+    ],
     "no-upstream": ["listing", "no upstream of the service was listed, open and in a running group"],
     "not-ready": ["listing", "the entry had no configuration recent enough for a final refusal"],
     "crashes-upstreams": [
@@ -65,7 +69,11 @@
 
 /** The ids of the upstreams that the request's lines name. */
 const upstreamsNamedIn = (request: LogLine[]): Set<unknown> =>
-    new Set(request.flatMap(line => [line["upstream"], line["reached"], line["avoided"], line["upstreams"]].flat()));
+    new Set(
+        request.flatMap(line =>
+            [line["upstream"], line["reached"], line["avoided"], line["upstreams"], line["limited"]].flat()
+        ),
+    );
 
 const groupsNamedIn = (request: LogLine[]): Set<unknown> =>
     new Set(
@@ -74,7 +82,15 @@
         ),
     );
 
-const upstreamEvents = new Set(["upstream listed", "upstream unlisted", "upstream ejected", "upstream crashed"]);
+const upstreamEvents = new Set([
+    "upstream listed",
+    "upstream unlisted",
+    "upstream ejected",
+    "upstream crashed",
+    "upstream states a limit",
+    "upstream limit ended",
+    "permit not answered",
+]);
 const entryEvents = new Set([
     "requests held back",
     "requests released",
--- a/src/coordination/ingress/gossipSchedule.ts
+++ b/src/coordination/ingress/gossipSchedule.ts
@@ -15,9 +15,15 @@
 /** The status as it must be relayed `age` milliseconds after it was received. */
 const withRelayDelay = (status: EntryStatus, age: number): EntryStatus => {
     const { store } = status;
+    const statedLimits = Object.fromEntries(
+        Object.entries(status.statedLimits).map(([id, statement]) => [
+            id,
+            { ...statement, ageMilliseconds: Math.round(statement.ageMilliseconds + age) },
+        ]),
+    );
     return store === undefined
-        ? status
-        : { ...status, store: { ...store, contactAge: Math.round(store.contactAge + age) } };
+        ? { ...status, statedLimits }
+        : { ...status, statedLimits, store: { ...store, contactAge: Math.round(store.contactAge + age) } };
 };
 
 export type GossipSchedule = {
--- a/src/coordination/ingress/peerStatusTable.ts
+++ b/src/coordination/ingress/peerStatusTable.ts
@@ -7,6 +7,7 @@
 import type { CrashEvidence } from "../../state/crashEvidence.js";
 import type { Clock } from "../../state/types.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { LimitStatement } from "./statedLimits.js";
 import type { StoreReadStatus } from "./storeMonitor.js";
 
 /** What one entry reports about itself. */
@@ -29,6 +30,8 @@
     hasRead: boolean;
     /** Upstreams whose responses said that they are leaving, with the start times of those runs. */
     leaving: Record<string, number>;
+    /** Limits that upstreams stated, as far as the other entries need to hear of them, by upstream id. */
+    statedLimits: Record<string, LimitStatement>;
     /** Undefined if there is none. */
     crashEvidence: CrashEvidence | undefined;
 };
--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -13,6 +13,7 @@
 import type { RequestTraits } from "./requestTraits.js";
 import type { FailedAttempt, SendToUpstream } from "./upstreamAttempt.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
+import type { UpstreamLimits } from "./upstreamLimits.js";
 
 /** The response to one caller; exactly one of `end`, `refuse` and `abort` finishes it. */
 export type ResponseSink = {
@@ -57,6 +58,7 @@
     retryBudget: RetryBudget;
     crashObserver: CrashObserver;
     crashEvidence: Pick<CrashEvidenceTable, "holdOf" | "isNearHold">;
+    requestLimits: Pick<UpstreamLimits, "take">;
     random: () => number;
 };
 
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -17,6 +17,7 @@
 import type { RequestContext, RequestDependencies } from "./requestContext.js";
 import { suspectTraits } from "./requestTraits.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
+import type { LimitState } from "./upstreamLimits.js";
 
 export type AdmissionRefusal = {
     kind: ErrorCode;
@@ -48,12 +49,15 @@
 const stalledRetryAfterMilliseconds = 2_300;
 const stalledRetryAfterSpreadMilliseconds = 400;
 
+/** Each denial costs a round trip to another entry, so a stream then goes to an upstream without a limit if it can. */
+const deniedUntilUnlimited = 2;
+
 const queuePriority = (priority: number): Priority =>
     priority === 0 ? "interactive" : priority === 1 ? "standard" : "batch";
 
 export const createStreamAdmission = (
     scheduler: StreamScheduler,
-    { clock, random, crashEvidence }: RequestDependencies,
+    { clock, random, crashEvidence, requestLimits }: RequestDependencies,
 ): StreamAdmission => {
     const queues = new Map<string, FairQueue>();
     const noneExcluded: ReadonlySet<string> = new Set();
@@ -91,47 +95,79 @@
         };
     };
 
+    const allLimited = ({ millisecondsUntilOpen, limited }: LimitState): AdmissionRefusal => ({
+        kind: "upstreams-limited",
+        retryAfterMilliseconds: Math.max(millisecondsUntilOpen, minimumRetryAfterMilliseconds)
+            + random() * retryAfterSpreadMilliseconds,
+        details: { opensIn: Math.round(millisecondsUntilOpen), limited },
+    });
+
+    const startDeadlineOf = (
+        { route, arrivedAt, responseDueAt }: Pick<RequestContext, "route" | "arrivedAt" | "responseDueAt">,
+    ): number => Math.min(responseDueAt, arrivedAt + route.objectiveMilliseconds * queueingShareOfObjective);
+
+    const retryQueued = (): void => queues.forEach(queue => queue.dispatch());
+
+    /** Waits for a place; it may be on an upstream that is at the limit on requests that it states. */
+    const waitForPlace = async (
+        { service, route, envelope, clientAccount, priority, arrivedAt, responseDueAt, traits, signal }: RequestContext,
+        prefersUnlimited: boolean,
+    ): Promise<Result<StreamReservation, AdmissionRefusal>> => {
+        const queue = queueOf(service);
+        const startDeadline = startDeadlineOf({ route, arrivedAt, responseDueAt });
+        const entered = await queue.submit<Result<StreamReservation, AdmissionRefusal>>({
+            clientAccount: clientAccount ?? "",
+            priority: queuePriority(priority),
+            tokens: envelope.promptTokens + envelope.maximumAnswerTokens,
+            startDeadline,
+            tryStart: () => {
+                const hold = crashEvidence.holdOf(suspectTraits(traits), false);
+                if (hold !== undefined) {
+                    return { kind: "done", value: err(heldBack(hold)) };
+                }
+                const reservation = scheduler.reserve(service, noneExcluded, "new", prefersUnlimited);
+                if (reservation !== undefined) {
+                    return { kind: "done", value: ok(reservation) };
+                }
+                if (!scheduler.hasUpstream(service, noneExcluded)) {
+                    return { kind: "done", value: err(noUpstream(service)) };
+                }
+                const limitState = scheduler.limitState(service, noneExcluded);
+                return clock.now() + limitState.millisecondsUntilOpen < startDeadline
+                    ? { kind: "wait" }
+                    : { kind: "done", value: err(allLimited(limitState)) };
+            },
+        }, signal);
+        return entered.mapErr(({ kind }): AdmissionRefusal => ({
+            kind: kind === "full" ? "queue-full" : "cannot-start-in-time",
+            retryAfterMilliseconds: suggestedRetryMilliseconds(),
+            details: { queued: queue.length(), groups: scheduler.groups() },
+        })).andThen(started => started);
+    };
+
     return {
         enter: async context => {
-            const { service, route, envelope, clientAccount, priority, arrivedAt, responseDueAt, signal } = context;
-            const traits = suspectTraits(context.traits);
-            const hold = crashEvidence.holdOf(traits, false);
+            const { service, signal } = context;
+            const hold = crashEvidence.holdOf(suspectTraits(context.traits), false);
             if (hold !== undefined) {
                 return err(heldBack(hold));
             }
             if (!scheduler.hasUpstream(service, noneExcluded)) {
                 return err(noUpstream(service));
             }
-            const queue = queueOf(service);
-            const entered = await queue.submit<Result<StreamReservation, AdmissionRefusal>>({
-                clientAccount: clientAccount ?? "",
-                priority: queuePriority(priority),
-                tokens: envelope.promptTokens + envelope.maximumAnswerTokens,
-                startDeadline: Math.min(
-                    responseDueAt,
-                    arrivedAt + route.objectiveMilliseconds * queueingShareOfObjective,
-                ),
-                tryStart: () => {
-                    const holdMeanwhile = crashEvidence.holdOf(traits, false);
-                    if (holdMeanwhile !== undefined) {
-                        return { kind: "done", value: err(heldBack(holdMeanwhile)) };
-                    }
-                    const reservation = scheduler.reserve(service, noneExcluded, "new");
-                    if (reservation !== undefined) {
-                        return { kind: "done", value: ok(reservation) };
-                    }
-                    return scheduler.hasUpstream(service, noneExcluded)
-                        ? { kind: "wait" }
-                        : { kind: "done", value: err(noUpstream(service)) };
-                },
-            }, signal);
-            return entered.mapErr(({ kind }): AdmissionRefusal => ({
-                kind: kind === "full" ? "queue-full" : "cannot-start-in-time",
-                retryAfterMilliseconds: suggestedRetryMilliseconds(),
-                details: { queued: queue.length(), groups: scheduler.groups() },
-            })).andThen(started => started);
+            for (let denied = 0;; denied += 1) {
+                const place = await waitForPlace(context, denied >= deniedUntilUnlimited);
+                if (place.isErr() || await requestLimits.take(place.value.upstream, signal) || signal.aborted) {
+                    return place;
+                }
+                place.value.release();
+                retryQueued();
+                if (clock.now() > startDeadlineOf(context)) {
+                    return err(allLimited(scheduler.limitState(service, noneExcluded)));
+                }
+            }
         },
-        retryQueued: () => queues.forEach(queue => queue.dispatch()),
+        retryQueued,
         suggestedRetryMilliseconds,
     };
 };
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -13,6 +13,7 @@
 import type { IngressLog } from "./ingressLog.js";
 import type { PeerStatusTable } from "./peerStatusTable.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
+import { type LimitState, limitStateOf, type UpstreamLimits } from "./upstreamLimits.js";
 import type { UpstreamPauses } from "./upstreamPauses.js";
 
 export type StreamReservation = {
@@ -31,11 +32,15 @@
 export type StreamAdmissionClass = "new" | "admitted";
 
 export type StreamScheduler = {
-    /** Reserves capacity on an upstream not in `excluded`; undefined while none is available to this class. */
+    /**
+     * Reserves capacity on an upstream not in `excluded`; undefined while none is available to this class. With
+     * `prefersUnlimited`, upstreams that state a limit on requests are chosen only if no other has capacity.
+     */
     reserve: (
         service: string,
         excluded: ReadonlySet<string>,
         admissionClass: StreamAdmissionClass,
+        prefersUnlimited?: boolean,
     ) => StreamReservation | undefined;
     /** Reserves capacity for a stream of `upstream` on another one, of another group if they are in groups. */
     reserveElsewhere: (upstream: KnownUpstream, excluded: ReadonlySet<string>) => StreamReservation | undefined;
@@ -47,6 +52,8 @@
     hasUpstream: (service: string, excluded: ReadonlySet<string>) => boolean;
     /** Time until the first upstream takes work again, if all usable ones have asked for a pause; else undefined. */
     pauseMilliseconds: (service: string) => number | undefined;
+    /** How far the limits on requests leave a choice of the usable upstreams that are not in `excluded`. */
+    limitState: (service: string, excluded: ReadonlySet<string>) => LimitState;
     /** Whether any known group is running; true while no group is known. */
     hasRunningGroup: () => boolean;
 };
@@ -55,6 +62,7 @@
     state: Pick<DeploymentState, "usable" | "all">;
     health: Pick<UpstreamHealth, "isEjected">;
     pauses: Pick<UpstreamPauses, "isPaused" | "millisecondsUntilFirst">;
+    requestLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen">;
     clock: Clock;
     peerStatuses: Pick<PeerStatusTable, "runningOn" | "limitOf" | "countAgeSeconds">;
     /** Queries one engine for the state of its group; undefined if it doesn't respond. */
@@ -92,7 +100,7 @@
 };
 
 export const createStreamScheduler = (options: StreamSchedulerOptions): StreamScheduler => {
-    const { state, health, pauses, clock, peerStatuses, queryEngine, log, random, signal } = options;
+    const { state, health, pauses, requestLimits, clock, peerStatuses, queryEngine, log, random, signal } = options;
     const concurrencyLimits = new Map<string, GroupConcurrencyLimit>();
     const stallDetectors = new Map<string, GroupStallDetector>();
     const runningByUpstream = new Map<string, number>();
@@ -179,9 +187,10 @@
     };
 
     const reserveAmong = (
-        upstreams: KnownUpstream[],
+        candidateUpstreams: KnownUpstream[],
         admissionClass: StreamAdmissionClass,
     ): StreamReservation | undefined => {
+        const upstreams = candidateUpstreams.filter(upstream => requestLimits.millisecondsUntilOpen(upstream) <= 0);
         const unseenStarts = startRate.perSecond() * peerStatuses.countAgeSeconds();
         const candidate = chooseGroup(
             groupsWithCapacity(upstreams, admissionClass),
@@ -221,7 +230,11 @@
     };
 
     return {
-        reserve: (service, excluded, admissionClass) => reserveAmong(candidates(service, excluded), admissionClass),
+        reserve: (service, excluded, admissionClass, prefersUnlimited = false) => {
+            const upstreams = candidates(service, excluded);
+            const unlimited = prefersUnlimited ? upstreams.filter(upstream => !requestLimits.isLimited(upstream)) : [];
+            return reserveAmong(unlimited, admissionClass) ?? reserveAmong(upstreams, admissionClass);
+        },
         reserveElsewhere: (upstream, excluded) => {
             const others = candidates(upstream.service, excluded).filter(other =>
                 upstream.group === undefined ? other.id !== upstream.id : groupOf(other) !== groupOf(upstream)
@@ -237,6 +250,7 @@
                 overall: runningOnAllEntries(group),
             })),
         pauseMilliseconds: service => pauses.millisecondsUntilFirst(state.usable(service)),
+        limitState: (service, excluded) => limitStateOf(candidates(service, excluded), requestLimits),
         hasUpstream: (service, excluded) => candidates(service, excluded).length > 0,
         hasRunningGroup: () =>
             stallDetectors.size === 0 || [...stallDetectors.values()].some(stallDetector => stallDetector.isRunning()),
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -67,7 +67,7 @@
     admission: StreamAdmission,
     dependencies: RequestDependencies,
 ) => {
-    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence } = dependencies;
+    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, requestLimits } = dependencies;
 
     const readFullBody = createBodyReader();
 
@@ -219,12 +219,18 @@
                 reservation.release();
                 return undefined;
             }
+            if (reservation !== undefined && await requestLimits.take(reservation.upstream, context.signal)) {
+                return reservation;
+            }
+            reservation?.release();
             const shouldGiveUp = clock.now() >= resumeBy || context.signal.aborted
                 || !scheduler.hasUpstream(context.service, attempts.excluded);
-            if (reservation !== undefined || shouldGiveUp) {
-                return reservation;
+            if (shouldGiveUp) {
+                return undefined;
+            }
+            if (reservation === undefined) {
+                await clock.sleep(reservationRetryMilliseconds, context.signal);
             }
-            await clock.sleep(reservationRetryMilliseconds, context.signal);
         }
     };
 
@@ -253,7 +259,8 @@
                 continue;
             }
             const place = scheduler.reserveElsewhere(upstream, attempts.excluded);
-            if (place === undefined || !retryBudget.takeRetry()) {
+            const mayUse = place !== undefined && await requestLimits.take(place.upstream, attemptEnd.signal);
+            if (!mayUse || attemptEnd.signal.aborted || !retryBudget.takeRetry()) {
                 place?.release();
                 await clock.sleep(moveRetryMilliseconds, attemptEnd.signal);
                 continue;
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -5,6 +5,7 @@
  * The complete response is read before the first byte goes to the caller, so that a response which is cut off can be
  * retried and never reaches the caller in part.
  */
+import { err, ok, type Result } from "neverthrow";
 import type { KnownUpstream } from "./deploymentState.js";
 import {
     type AttemptHistory,
@@ -16,7 +17,7 @@
     type RequestDependencies,
 } from "./requestContext.js";
 import { suspectTraits } from "./requestTraits.js";
-import type { UnaryScheduler } from "./unaryScheduler.js";
+import type { UnaryReservation, UnaryScheduler } from "./unaryScheduler.js";
 import {
     type AttemptTimeouts,
     type BodyReader,
@@ -30,6 +31,10 @@
 /** Timeout of one attempt of an idempotent request, as a multiple of the route's latency objective. */
 const attemptTimeoutInObjectives = 1.5;
 const minimumAttemptTimeoutMilliseconds = 400;
+/** Share of the objective that a request may wait for an upstream at its limit; the rest is for its run. */
+const waitingShareOfObjective = 0.35;
+/** Each denial costs a round trip to another entry, so a request then goes to an upstream without a limit if it can. */
+const deniedUntilUnlimited = 2;
 /** Up to as much again is added at random, so that the retries of refused callers don't arrive together. */
 const baseRetryAfterMilliseconds = 300;
 const serverErrorStatus = 500;
@@ -58,7 +63,8 @@
 };
 
 export const createUnaryTask = (scheduler: UnaryScheduler, dependencies: RequestDependencies) => {
-    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, random } = dependencies;
+    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, requestLimits, random } =
+        dependencies;
 
     const readFullBody = createBodyReader();
 
@@ -114,13 +120,31 @@
     };
 
     /** A retry counts against the retry budget, unless the previous attempt failed before anything was sent. */
-    const mayRetry = (
-        { route }: RequestContext,
-        { reached }: AttemptHistory,
-        previousFailure: FailedAttempt["kind"] | undefined,
-    ): boolean =>
-        reached.size < route.attempts
-        && (previousFailure === undefined || previousFailure === "unreachable" || retryBudget.takeRetry());
+    const mayRetry = (previousFailure: FailedAttempt["kind"] | undefined): boolean =>
+        previousFailure === undefined || previousFailure === "unreachable" || retryBudget.takeRetry();
+
+    /** Reserves an upstream and takes a permit if it states a limit on requests, for which it may wait shortly. */
+    const reserve = async (
+        { service, route, arrivedAt, signal }: RequestContext,
+        { excluded }: AttemptHistory,
+    ): Promise<Result<UnaryReservation, "none" | "limited">> => {
+        const waitUntil = arrivedAt + route.objectiveMilliseconds * waitingShareOfObjective;
+        let denied = 0;
+        while (!signal.aborted) {
+            const reservation = scheduler.reserve(service, excluded, denied >= deniedUntilUnlimited);
+            if (reservation !== undefined && await requestLimits.take(reservation.upstream, signal)) {
+                return ok(reservation);
+            }
+            reservation?.release();
+            denied += reservation === undefined ? 0 : 1;
+            const { millisecondsUntilOpen } = scheduler.limitState(service, excluded);
+            if (clock.now() + millisecondsUntilOpen > waitUntil) {
+                return err(Number.isFinite(millisecondsUntilOpen) ? "limited" : "none");
+            }
+            await clock.sleep(millisecondsUntilOpen, signal);
+        }
+        return err("none");
+    };
 
     return async (context: RequestContext): Promise<void> => {
         const { route, service, envelope, signal } = context;
@@ -131,13 +155,18 @@
         const traits = suspectTraits(context.traits);
         const isHeldBack = (): boolean => crashEvidence.holdOf(traits, attempts.mayHaveRun) !== undefined;
         retryBudget.recordRequest();
-        while (!signal.aborted && !isHeldBack()) {
-            const reservation = scheduler.reserve(service, attempts.excluded);
-            if (reservation === undefined || !mayRetry(context, attempts, lastKind)) {
-                reservation?.release();
+        let isLimited = false;
+        while (!signal.aborted && !isHeldBack() && attempts.reached.size < route.attempts) {
+            const reservation = await reserve(context, attempts);
+            if (reservation.isErr()) {
+                isLimited = reservation.error === "limited";
+                break;
+            }
+            const { upstream, release } = reservation.value;
+            if (!mayRetry(lastKind)) {
+                release();
                 break;
             }
-            const { upstream, release } = reservation;
             const sentAt = clock.now();
             const observed = crashObserver.begin(upstream, envelope.requestId, context.traits);
             const result = await attempt(context, upstream);
@@ -193,10 +222,14 @@
                 failRequest(context, dependencies, "crashes-upstreams", { hold: crashEvidence.holdOf(traits, false) });
             }
             else {
-                const pauseMilliseconds = scheduler.pauseMilliseconds(service) ?? 0;
-                const retryAfterMilliseconds = Math.max(pauseMilliseconds, baseRetryAfterMilliseconds)
+                const limitState = isLimited ? scheduler.limitState(service, attempts.excluded) : undefined;
+                const opensInMilliseconds = limitState?.millisecondsUntilOpen
+                    ?? scheduler.pauseMilliseconds(service) ?? 0;
+                const retryAfterMilliseconds = Math.max(opensInMilliseconds, baseRetryAfterMilliseconds)
                     + baseRetryAfterMilliseconds * random();
-                failRequest(context, dependencies, "no-upstream", details, retryAfterMilliseconds);
+                const code = isLimited ? "upstreams-limited" : "no-upstream";
+                const limited = limitState?.limited;
+                failRequest(context, dependencies, code, { ...details, limited }, retryAfterMilliseconds);
             }
         }
     };
--- a/src/protocol/entryGossipMessages.ts
+++ b/src/protocol/entryGossipMessages.ts
@@ -13,6 +13,12 @@
 
 const protocolVersion = 2;
 
+export const limitStatementSchema = z.object({
+    bornAt: z.number(),
+    requestsPerSecond: z.number().nonnegative().optional(),
+    ageMilliseconds: z.number(),
+});
+
 const entryStatusSchema = z.object({
     host: z.string(),
     availabilityZone: z.string(),
@@ -29,6 +35,7 @@
     isServed: z.boolean().default(true),
     hasRead: z.boolean().default(false),
     leaving: z.record(z.string(), z.number()).default({}),
+    statedLimits: z.record(z.string(), limitStatementSchema).default({}),
     crashEvidence: crashEvidenceSchema.optional(),
 });
 const gossipMessageSchema = z.object({
--- a/src/state/errors.ts
+++ b/src/state/errors.ts
@@ -43,6 +43,11 @@
     "queue-full": entry(503, "not-run", target => `the queue for "${target}" is full`),
     "cannot-start-in-time": entry(503, "not-run", target => `"${target}" cannot start the request before its deadline`),
     "no-upstream": entry(503, "not-run", target => `"${target}" has no upstream that takes work`),
+    "upstreams-limited": entry(
+        503,
+        "not-run",
+        target => `every upstream of "${target}" is at the limit that it states`,
+    ),
     "upstream-full": entry(503, "not-run", upstream => `upstream "${upstream}" is at its limit`),
     "upstream-draining": entry(503, "not-run", upstream => `upstream "${upstream}" is draining`),
     "log-unavailable": entry(503, "not-run", stream => `log stream "${stream}" is not available`),
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -22,7 +22,6 @@
 import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
 import { createSharedRecords } from "../../coordination/ingress/sharedRecords.js";
-import { createStatedLimits } from "../../coordination/ingress/statedLimits.js";
 import { createStoreMonitor } from "../../coordination/ingress/storeMonitor.js";
 import { createStreamAdmission } from "../../coordination/ingress/streamAdmission.js";
 import { createStreamScheduler } from "../../coordination/ingress/streamScheduler.js";
@@ -42,9 +41,11 @@
 import { createTimeoutSignal } from "../timeoutSignal.js";
 import { type CallerRequest, startCallerServer } from "./callerServer.js";
 import { startEntryGossip } from "./entryGossip.js";
+import { startPeerServer } from "./peerServer.js";
 import { isPortClosed } from "./portCheck.js";
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
-import { createRelayedSource, serveRecords } from "./recordRelay.js";
+import { createRelayedSource } from "./recordRelay.js";
+import { createRequestLimits } from "./requestLimits.js";
 import { createSender } from "./upstreamSender.js";
 
 /** Access to a platform: its header fields, store and engines. */
@@ -99,7 +100,6 @@
     const state = createDeploymentState(clock, log);
     const health = createUpstreamHealth(clock, log);
     const pauses = createUpstreamPauses(clock, log);
-    const statedLimits = createStatedLimits(clock, log);
     const peerStatuses = createPeerStatusTable(clock, log);
     const retryBudget = createRetryBudget(
         clock,
@@ -107,6 +107,7 @@
         createRetryReserve(config, peerStatuses.maximumEntriesSeen),
     );
     const knownEntries = new Map<string, PeerEntry>();
+    const requestLimits = createRequestLimits({ ...config, knownEntries, upstreams: state.all, clock, log, metrics });
     const storeMonitor = createStoreMonitor(clock, () => sharedRecords.storeTurn());
     const sharedRecords = createSharedRecords({
         host: config.host,
@@ -165,12 +166,14 @@
         retryBudget,
         crashObserver,
         crashEvidence,
+        requestLimits,
         random: Math.random,
     };
     const streamScheduler = createStreamScheduler({
         state,
         health,
         pauses,
+        requestLimits,
         clock,
         peerStatuses,
         queryEngine: async ({ address }, querySignal) =>
@@ -179,7 +182,14 @@
         random: Math.random,
         signal,
     });
-    const unaryScheduler = createUnaryScheduler(state, health, pauses, config.availabilityZone, peerStatuses.runningOn);
+    const unaryScheduler = createUnaryScheduler({
+        state,
+        health,
+        pauses,
+        requestLimits,
+        availabilityZone: config.availabilityZone,
+        runningOnOtherEntries: peerStatuses.runningOn,
+    });
     const admission = createStreamAdmission(streamScheduler, dependencies);
     const runStream = createStreamTask(streamScheduler, admission, dependencies);
     const runUnary = createUnaryTask(unaryScheduler, dependencies);
@@ -219,6 +229,7 @@
         onStatuses: statuses => {
             statuses.flatMap(({ store }) => store ?? []).forEach(storeMonitor.recordPeerStatus);
             statuses.flatMap(status => status.crashEvidence ?? []).forEach(crashEvidence.merge);
+            requestLimits.recordStatuses(statuses);
             statuses.flatMap(({ leaving }) => Object.entries(leaving)).forEach(([id, bornAt]) =>
                 state.markLeaving(id, bornAt, "another entry")
             );
@@ -233,6 +244,7 @@
             isServed: sharedRecords.isServed(),
             hasRead: sharedRecords.hasRead(),
             leaving: state.leavingToGossip(),
+            statedLimits: requestLimits.statementsToGossip(),
             crashEvidence: crashEvidenceToGossip(),
         }),
         clock,
@@ -277,7 +289,7 @@
             responseDueAt,
             send: withNotices(
                 createSender(platform.headerAdapter, message, body),
-                { state, pauses, limits: statedLimits },
+                { state, pauses, limits: requestLimits.stated },
                 clock,
             ),
             sink,
@@ -321,7 +333,11 @@
         }
         return isReadyNow;
     };
-    const relay = await serveRecords(`${config.ip}:${config.internalPorts[0]}`, sharedRecords.cache, signal);
+    const peerServer = await startPeerServer(
+        `${config.ip}:${config.internalPorts[0]}`,
+        { records: sharedRecords.cache, requestLimits },
+        signal,
+    );
     const readiness = await startReadinessServer(config.readiness, platform.readinessPath, isReady);
     const describeState = (): Record<string, unknown> => ({
         host: config.host,
@@ -334,7 +350,7 @@
         upstreams: state.all(),
         groups: streamScheduler.groups(),
         heldBack: crashEvidence.holds(),
-        statedLimits: statedLimits.limits(),
+        statedLimits: requestLimits.stated.limits(),
     });
     const metricsServer = await startMetricsServer(config.metrics, metrics.text, describeState);
 
@@ -352,7 +368,7 @@
             }
             while (callers.isBusy() && clock.now() - startedAt < graceMilliseconds);
             callers.close();
-            await Promise.all([readiness.close(), metricsServer.close(), relay.close()]);
+            await Promise.all([readiness.close(), metricsServer.close(), peerServer.close()]);
         },
     };
 };
--- a/src/transport/ingress/recordRelay.ts
+++ b/src/transport/ingress/recordRelay.ts
@@ -1,68 +1,21 @@
 /**
- * Serves the records that this entry has read to other entries, and reads from theirs.
+ * Reads the records that other entries have read from the store.
  */
 import { createTRPCClient, httpLink } from "@trpc/client";
-import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
-import { Hono } from "hono";
 import { err, ok, type Result } from "neverthrow";
-import { setMaxListeners } from "node:events";
 import type { FeedFailure, RecordBatch, RecordSource } from "../../coordination/ingress/recordSource.js";
 import {
     decodeRelayRecords,
     recordRelayEndpoint,
     type RecordRelayRouter,
-    recordRelayRouter,
     type RelayAnswer,
 } from "../../protocol/recordRelayRouter.js";
 import { reasonOf } from "../../state/errors.js";
-import { listen, type Listener, type NodeBindings } from "../httpServer.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 
 /** Time for an answer in addition to its wait; a configuration with a thousand routes takes a part of it. */
 const answerTimeoutMilliseconds = 900;
 
-/**
- * Serves `records` on `address` (`ip:port`). A read ends when its caller is gone, `signal` aborts or the listener closes,
- * which would otherwise wait for polls that hang for many seconds.
- */
-export const serveRecords = async (
-    address: string,
-    records: RecordSource,
-    signal: AbortSignal,
-): Promise<Listener> => {
-    const closing = new AbortController();
-    setMaxListeners(0, closing.signal);
-    const endReads = (): void => closing.abort();
-    signal.addEventListener("abort", endReads, { once: true });
-    const application = new Hono<NodeBindings>();
-    application.all(`${recordRelayEndpoint}/*`, async ({ req }) => {
-        const reading = new AbortController();
-        const stop = (): void => reading.abort();
-        closing.signal.addEventListener("abort", stop, { once: true });
-        if (closing.signal.aborted) {
-            stop();
-        }
-        req.raw.signal.addEventListener("abort", stop, { once: true });
-        const response = await fetchRequestHandler({
-            endpoint: recordRelayEndpoint,
-            req: req.raw,
-            router: recordRelayRouter,
-            createContext: () => ({ records, signal: reading.signal }),
-        });
-        closing.signal.removeEventListener("abort", stop);
-        return response;
-    });
-    const listener = await listen(application, address);
-    return {
-        address: listener.address,
-        close: () => {
-            signal.removeEventListener("abort", endReads);
-            endReads();
-            return listener.close();
-        },
-    };
-};
-
 const toResult = (answer: RelayAnswer): Result<RecordBatch, FeedFailure> =>
     "failure" in answer
         ? err({ kind: answer.failure, reason: answer.reason })
--- a/tests/ingress/gossip.test.ts
+++ b/tests/ingress/gossip.test.ts
@@ -31,6 +31,7 @@
     isServed: true,
     hasRead: false,
     leaving: {},
+    statedLimits: {},
     crashEvidence: undefined,
     ...fields,
 });
--- a/tests/ingress/ingressDecisions.test.ts
+++ b/tests/ingress/ingressDecisions.test.ts
@@ -169,6 +169,7 @@
         isServed: true,
         hasRead: false,
         leaving: {},
+        statedLimits: {},
         crashEvidence: undefined,
         ...fields,
     });
--- a/tests/ingress/streamOverload.test.ts
+++ b/tests/ingress/streamOverload.test.ts
@@ -14,6 +14,7 @@
 import { createRetryBudget } from "../../src/coordination/retryBudget.js";
 import type { Clock } from "../../src/state/types.js";
 import { noCrashEvidence, unusedCrashObserver } from "../support/crashes.js";
+import { noRequestLimits } from "../support/noRequestLimits.js";
 import { seededRandom } from "../support/random.js";
 import { type SteppedClock, steppedClock } from "../support/steppedClock.js";
 import { listedUpstream } from "../support/upstreams.js";
@@ -63,6 +64,7 @@
         state: { usable: () => upstreams, all: () => upstreams },
         health,
         pauses: createUpstreamPauses(clock, log),
+        requestLimits: noRequestLimits,
         clock,
         peerStatuses: { runningOn: () => 0, limitOf: () => undefined, countAgeSeconds: () => 0 },
         queryEngine: async () => undefined,
@@ -78,6 +80,7 @@
         retryBudget: createRetryBudget(clock, () => 0),
         crashObserver: unusedCrashObserver,
         crashEvidence: noCrashEvidence,
+        requestLimits: noRequestLimits,
         random,
     };
     const admission = createStreamAdmission(scheduler, shared);
--- a/tests/support/entryFleet.ts
+++ b/tests/support/entryFleet.ts
@@ -27,6 +27,7 @@
 import type { Clock } from "../../src/state/types.js";
 import { type CrashingServerModel, type FleetRequest, startCrashingServerModel } from "./crashingServerModel.js";
 import { startEvidenceStoreModel } from "./evidenceStoreModel.js";
+import { noRequestLimits } from "./noRequestLimits.js";
 import { seededRandom } from "./random.js";
 import { type SteppedClock, steppedClock } from "./steppedClock.js";
 
@@ -159,6 +160,7 @@
                 isServed: true,
                 hasRead: false,
                 leaving: {},
+                statedLimits: {},
                 crashEvidence: table.evidenceToGossip(),
             }),
             send: (addresses, statuses) => deliver(index, addresses, encodeEntryGossip({ from: host, news: statuses })),
@@ -182,12 +184,14 @@
             retryBudget: createRetryBudget(ownClock, () => 1),
             crashObserver,
             crashEvidence: table,
+            requestLimits: noRequestLimits,
             random,
         };
         const scheduler = createStreamScheduler({
             state: { usable: servers.upstreams, all: servers.upstreams },
             health,
             pauses: createUpstreamPauses(ownClock, log),
+            requestLimits: noRequestLimits,
             clock: ownClock,
             peerStatuses,
             queryEngine: async () => undefined,
--- /dev/null
+++ b/tests/support/noRequestLimits.ts
@@ -0,0 +1,10 @@
+/**
+ * Stands in for the limits on requests where no upstream states one.
+ */
+import type { UpstreamLimits } from "../../src/coordination/ingress/upstreamLimits.js";
+
+export const noRequestLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen" | "take"> = {
+    isLimited: () => false,
+    millisecondsUntilOpen: () => 0,
+    take: async () => true,
+};
--- a/tests/support/recordFleet.ts
+++ b/tests/support/recordFleet.ts
@@ -283,6 +283,7 @@
                 isServed: shared.isServed(),
                 hasRead: shared.hasRead(),
                 leaving: state.leavingToGossip(),
+                statedLimits: {},
                 crashEvidence: undefined,
             }),
             send: (addresses, statuses) => void deliver(entry, addresses, statuses),
