Wait in a test until the entry has read the list that it calls by

'are used again in their next run, ...' made its sixty calls at once after it had changed the list, and they were over before the entry had read it, mostly beside load. The scheduler had no part in it. Change: the test waits for the line that the entry logs for the last of its changes, then makes the same calls with the same checks.

--- a/tests/ingress/upstreamNotices.test.ts
+++ b/tests/ingress/upstreamNotices.test.ts
@@ -44,6 +44,10 @@
         expect(isDone()).to.equal(true);
     };
 
+    /** The records before it in the list have then been read as well. */
+    const untilLogged = (event: string, { id }: SealedServer): Promise<void> =>
+        deployment.waitUntil(() => deployment.logLines.some(line => line.event === event && line["id"] === id));
+
     describe("of their leaving", () => {
         it("get nothing more from the entry that passed the notice on, although the list shows them as ready", async () => {
             await startWith(1);
@@ -82,10 +86,12 @@
             deployment.listUpstream(first, "catalogue", { seq: 9, slots: 7, born: bornAt });
             deployment.listUpstream(unused, "catalogue");
             deployment.store.put(topics.upstreams, second.id, undefined);
+            await untilLogged("upstream unlisted", second);
             await callUntil(() => unused.receivedRequests.length > 5);
             expect(first.receivedRequests).to.have.length(received);
             deployment.listUpstream(first, "catalogue", { seq: 1, born: bornAt + 5_000 });
             deployment.store.put(topics.upstreams, unused.id, undefined);
+            await untilLogged("upstream unlisted", unused);
             await callUntil(() => first.receivedRequests.length > received);
         });
     });
