Place plain requests at the better of two servers, by times that lose weight

Entries sorted by an average of all times ever seen and took the first: a server that was slow once was not used again, entries with the same old counts took the same one, and one that came back got nothing or everything. Change: two servers are drawn at random and the one with the lower expected time is taken. Times seen lose weight with age and with other responses, a server without recent ones counts as an average one, and estimates on few responses vary by chance.

--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -191,7 +191,7 @@
     ): void => {
         const { id } = reservation.upstream;
         if (result.kind === "complete") {
-            health.recordSuccess(id, clock.now() - sentAt);
+            health.recordSuccess(id);
         }
         else if (!context.signal.aborted && result.kind !== "other") {
             recordFailedAttempt(dependencies, context.envelope.requestId, id, {
--- a/src/coordination/ingress/unaryScheduler.ts
+++ b/src/coordination/ingress/unaryScheduler.ts
@@ -1,11 +1,16 @@
 /**
- * Selects the upstream for each non-streaming (unary) request: the one with the lowest expected response time.
+ * Selects the upstream for each non-streaming (unary) request: of two drawn at random, the one with the lower expected
+ * response time.
  *
- * The expected time is the upstream's average response time, scaled by its outstanding requests from all entries
- * relative to its slots. An upstream in another availability zone has a fixed cost added. Ejected upstreams are skipped
- * while any other is usable.
+ * Answers many entries that choose by counts of each other which are some tenths of a second old: if each took the best
+ * of all, they would all take the same one until the next counts arrive. The expected time is the response time seen
+ * lately (see `responseTimes.ts`), scaled by the upstream's outstanding requests from all entries relative to its slots.
+ * An upstream in another availability zone has a fixed cost added. Ejected upstreams are skipped while any other is
+ * usable.
  */
+import type { RandomNumber } from "../../state/types.js";
 import type { DeploymentState, KnownUpstream } from "./deploymentState.js";
+import type { ResponseTimes } from "./responseTimes.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import { type LimitState, limitStateOf, type UpstreamLimits } from "./upstreamLimits.js";
 import type { UpstreamPauses } from "./upstreamPauses.js";
@@ -14,7 +19,7 @@
 
 export type UnaryScheduler = {
     /**
-     * Selects the best upstream not in `excluded`; the request counts as outstanding there until `release`. With
+     * Selects an upstream not in `excluded`; the request counts as outstanding there until `release`. With
      * `prefersUnlimited`, upstreams that state a limit on requests are chosen only if no other is usable.
      */
     reserve: (
@@ -31,32 +36,42 @@
 
 export type UnarySchedulerOptions = {
     state: Pick<DeploymentState, "usable">;
-    health: Pick<UpstreamHealth, "isEjected" | "averageResponseMilliseconds">;
+    health: Pick<UpstreamHealth, "isEjected">;
+    responseTimes: Pick<ResponseTimes, "estimate">;
     pauses: Pick<UpstreamPauses, "isPaused" | "millisecondsUntilFirst">;
     requestLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen">;
     availabilityZone: string;
     /** Number of requests that the other entries run on an upstream. */
     runningOnOtherEntries: (id: string) => number;
+    random: RandomNumber;
 };
 
-/**
- * Used for an upstream without any response yet; about the time that one request takes in the deployments in use.
- */
-const assumedResponseMilliseconds = 60;
 /** Covers the round trip to another zone and the price of the bytes sent there. */
 const crossZoneCostMilliseconds = 5;
 
 export const createUnaryScheduler = (options: UnarySchedulerOptions): UnaryScheduler => {
-    const { state, health, pauses, requestLimits, availabilityZone, runningOnOtherEntries } = options;
+    const { state, health, responseTimes, pauses, requestLimits, availabilityZone, runningOnOtherEntries, random } =
+        options;
     const running = new Map<string, number>();
 
-    const expectedMilliseconds = (upstream: KnownUpstream): number => {
+    const withLoad = (upstream: KnownUpstream, responseMilliseconds: number): number => {
         const outstanding = (running.get(upstream.id) ?? 0) + runningOnOtherEntries(upstream.id);
-        const responseMilliseconds = health.averageResponseMilliseconds(upstream.id) ?? assumedResponseMilliseconds;
         const zoneCostMilliseconds = upstream.availabilityZone === availabilityZone ? 0 : crossZoneCostMilliseconds;
         return responseMilliseconds * (1 + outstanding / Math.max(1, upstream.slots)) + zoneCostMilliseconds;
     };
 
+    const choose = (upstreams: KnownUpstream[]): KnownUpstream | undefined => {
+        const estimates = responseTimes.estimate(upstreams);
+        const candidates = upstreams.map((upstream, index) => ({
+            upstream,
+            expected: withLoad(upstream, estimates[index] ?? 0),
+        }));
+        const draw = () => candidates.splice(Math.floor(random() * candidates.length), 1)[0];
+        const first = draw();
+        const second = draw();
+        return second !== undefined && second.expected < (first?.expected ?? 0) ? second.upstream : first?.upstream;
+    };
+
     const candidates = (service: string, excluded: ReadonlySet<string>): KnownUpstream[] => {
         const usable = state.usable(service).filter(upstream =>
             !excluded.has(upstream.id) && !pauses.isPaused(upstream)
@@ -71,16 +86,14 @@
                 requestLimits.millisecondsUntilOpen(upstream) <= 0
             );
             const unlimited = prefersUnlimited ? open.filter(upstream => !requestLimits.isLimited(upstream)) : [];
-            const [best] = (unlimited.length > 0 ? unlimited : open)
-                .map(upstream => ({ upstream, expected: expectedMilliseconds(upstream) }))
-                .sort((left, right) => left.expected - right.expected);
-            if (best === undefined) {
+            const upstream = choose(unlimited.length > 0 ? unlimited : open);
+            if (upstream === undefined) {
                 return undefined;
             }
-            const { id } = best.upstream;
+            const { id } = upstream;
             running.set(id, (running.get(id) ?? 0) + 1);
             return {
-                upstream: best.upstream,
+                upstream,
                 release: () => void running.set(id, (running.get(id) ?? 1) - 1),
             };
         },
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -17,6 +17,7 @@
     type RequestDependencies,
 } from "./requestContext.js";
 import { suspectTraits } from "./requestTraits.js";
+import type { ResponseTimes } from "./responseTimes.js";
 import type { UnaryReservation, UnaryScheduler } from "./unaryScheduler.js";
 import {
     type AttemptTimeouts,
@@ -62,7 +63,11 @@
     return { kind: response.status >= serverErrorStatus ? "failed" : "final", response, body };
 };
 
-export const createUnaryTask = (scheduler: UnaryScheduler, dependencies: RequestDependencies) => {
+export const createUnaryTask = (
+    scheduler: UnaryScheduler,
+    responseTimes: Pick<ResponseTimes, "record">,
+    dependencies: RequestDependencies,
+) => {
     const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, requestLimits, random } =
         dependencies;
 
@@ -181,7 +186,8 @@
                 attempts.reached.add(upstream.id);
             }
             if (result.kind === "final") {
-                health.recordSuccess(upstream.id, durationMilliseconds);
+                health.recordSuccess(upstream.id);
+                responseTimes.record(upstream, durationMilliseconds);
                 deliver(context, upstream.id, result.response, result.body);
                 return;
             }
--- a/src/coordination/ingress/upstreamHealth.ts
+++ b/src/coordination/ingress/upstreamHealth.ts
@@ -3,7 +3,7 @@
  *
  * The platform's health checks can give false results either way, so only responses count. An upstream that is
  * unreachable or fails twice in a row is ejected for a time that doubles with each further ejection; a usable response
- * resets it. The average response time also serves to select among the upstreams of unary requests.
+ * resets it.
  */
 import type { Clock } from "../../state/types.js";
 import type { IngressLog } from "./ingressLog.js";
@@ -12,23 +12,18 @@
 const maximumEjectionMilliseconds = 5_000;
 /** A single failure is probably due to the request; two in a row are rare from a healthy upstream: 2% at 14% errors. */
 const consecutiveFailuresUntilEjection = 2;
-/** Weight of the newest response time; the last ten responses make up two thirds of the average. */
-const smoothingFactor = 0.1;
 
 type HealthRecord = {
     failures: number;
     ejectedUntil: number;
     nextEjectionMilliseconds: number;
-    averageResponseMilliseconds: number | undefined;
 };
 
 export type UpstreamHealth = {
-    recordSuccess: (id: string, milliseconds: number) => void;
+    recordSuccess: (id: string) => void;
     /** `isUnreachable`: the upstream can't be reached at all, so that one failure is enough for an ejection. */
     recordFailure: (id: string, isUnreachable: boolean, reason: string) => void;
     isEjected: (id: string) => boolean;
-    /** Moving average of the response time; undefined before the first response. */
-    averageResponseMilliseconds: (id: string) => number | undefined;
 };
 
 export const createUpstreamHealth = (clock: Pick<Clock, "now">, log: IngressLog): UpstreamHealth => {
@@ -40,22 +35,17 @@
                 failures: 0,
                 ejectedUntil: 0,
                 nextEjectionMilliseconds: initialEjectionMilliseconds,
-                averageResponseMilliseconds: undefined,
             };
         records.set(id, known);
         return known;
     };
 
     return {
-        recordSuccess: (id, milliseconds) => {
+        recordSuccess: id => {
             const record = recordOf(id);
             record.failures = 0;
             record.ejectedUntil = 0;
             record.nextEjectionMilliseconds = initialEjectionMilliseconds;
-            record.averageResponseMilliseconds = record.averageResponseMilliseconds === undefined
-                ? milliseconds
-                : record.averageResponseMilliseconds
-                    + (milliseconds - record.averageResponseMilliseconds) * smoothingFactor;
         },
         recordFailure: (id, isUnreachable, reason) => {
             const record = recordOf(id);
@@ -76,6 +66,5 @@
             }
         },
         isEjected: id => (records.get(id)?.ejectedUntil ?? 0) > clock.now(),
-        averageResponseMilliseconds: id => records.get(id)?.averageResponseMilliseconds,
     };
 };
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -19,6 +19,7 @@
 import type { RecordSource } from "../../coordination/ingress/recordSource.js";
 import type { RequestContext, RequestDependencies } from "../../coordination/ingress/requestContext.js";
 import { requestTraits, suspectTraits } from "../../coordination/ingress/requestTraits.js";
+import { createResponseTimes } from "../../coordination/ingress/responseTimes.js";
 import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
 import { createSharedRecords } from "../../coordination/ingress/sharedRecords.js";
@@ -182,17 +183,20 @@
         random: Math.random,
         signal,
     });
+    const responseTimes = createResponseTimes(clock, Math.random);
     const unaryScheduler = createUnaryScheduler({
         state,
         health,
+        responseTimes,
         pauses,
         requestLimits,
         availabilityZone: config.availabilityZone,
         runningOnOtherEntries: peerStatuses.runningOn,
+        random: Math.random,
     });
     const admission = createStreamAdmission(streamScheduler, dependencies);
     const runStream = createStreamTask(streamScheduler, admission, dependencies);
-    const runUnary = createUnaryTask(unaryScheduler, dependencies);
+    const runUnary = createUnaryTask(unaryScheduler, responseTimes, dependencies);
     const incarnation = randomUUID();
     let isStopping = false;
     let wasReady = false;
--- a/tests/ingress/ingressDecisions.test.ts
+++ b/tests/ingress/ingressDecisions.test.ts
@@ -99,7 +99,7 @@
         clock.advance(601);
         expect(health.isEjected("a")).to.equal(true);
         clock.advance(600);
-        health.recordSuccess("a", 50);
+        health.recordSuccess("a");
         health.recordFailure("a", false, "status 500");
         expect(health.isEjected("a")).to.equal(false);
         health.recordFailure("a", false, "status 500");
