Close unused connections when a listener closes

Trial plays with a line for each connection showed that its port for other entries waited for connections on which nothing had ever been sent; an aborted call of an entry leaves such a one behind, and Node does not count it as idle. Until then the entry gossiped on, but gave no records and no permits. Ruled out: the polls of other entries, readiness and metrics ports. Change: a closing listener gives a new connection 0.5 s for its first request, then closes it if it has sent nothing.

--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -34,6 +34,8 @@
 
 const keepAliveTimeoutMilliseconds = 30_000;
 const idleSweepIntervalMilliseconds = 50;
+/** While a listener closes, a connection may still bring its first request for this long; many round trips. */
+const firstRequestMilliseconds = 500;
 const okStatus = 200;
 
 const clientErrorCodes: Record<string, ErrorCode> = {
@@ -80,7 +82,12 @@
         },
     }) as Server;
     server.on("clientError", sendClientError);
-    server.on("connection", (socket: Socket) => socket.setNoDelay(true));
+    const sockets = new Set<Socket>();
+    server.on("connection", (socket: Socket) => {
+        socket.setNoDelay(true);
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(port, host, resolve);
@@ -88,12 +95,13 @@
     const boundAddress = server.address() as AddressInfo;
     return {
         address: `${boundAddress.address}:${boundAddress.port}`,
-        close: () => closeGracefully(server),
+        close: () => closeGracefully(server, sockets),
     };
 };
 
-const closeGracefully = (server: Server): Promise<void> =>
+const closeGracefully = (server: Server, sockets: ReadonlySet<Socket>): Promise<void> =>
     new Promise(resolve => {
+        const closesUnusedAt = performance.now() + firstRequestMilliseconds;
         server.prependListener("request", (request, response) => {
             response.shouldKeepAlive = false;
         });
@@ -101,8 +109,13 @@
             clearInterval(sweep);
             resolve();
         });
-        // Connections with a request in progress become idle only later.
-        const sweep = setInterval(() => server.closeIdleConnections(), idleSweepIntervalMilliseconds);
+        // Connections with a request in progress become idle only later; Node never counts unused ones as idle.
+        const sweep = setInterval(() => {
+            server.closeIdleConnections();
+            if (performance.now() > closesUnusedAt) {
+                [...sockets].filter(({ bytesRead }) => bytesRead === 0).forEach(socket => socket.destroy());
+            }
+        }, idleSweepIntervalMilliseconds);
         server.closeIdleConnections();
     });
 
