Refuse streams that are read late for the load, not for limits that nobody states

A stream that first looked for a place at or after the end of its wait was taken for one whose upstreams are all at their limits, as these then open too late by 0 ms. Change: only upstreams that are closed now can open too late. Evidence: the test of streams that are read late failed before (upstreams-limited) and passes (cannot-start-in-time).

--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -133,9 +133,9 @@
                     return { kind: "done", value: err(noUpstream(service)) };
                 }
                 const limitState = scheduler.limitState(service, noneExcluded);
-                return clock.now() + limitState.millisecondsUntilOpen < startDeadline
-                    ? { kind: "wait" }
-                    : { kind: "done", value: err(allLimited(limitState)) };
+                const opensTooLate = limitState.millisecondsUntilOpen > 0
+                    && clock.now() + limitState.millisecondsUntilOpen >= startDeadline;
+                return opensTooLate ? { kind: "done", value: err(allLimited(limitState)) } : { kind: "wait" };
             },
         }, signal);
         return entered.mapErr(({ kind }): AdmissionRefusal => ({
--- a/tests/ingress/streamOverload.test.ts
+++ b/tests/ingress/streamOverload.test.ts
@@ -37,7 +37,7 @@
     goneAt: undefined,
 }));
 
-type Outcome = { inTime: number; late: number; refused: number; refusedAfter: number[]; };
+type Outcome = { inTime: number; late: number; refused: number; refusedAfter: number[]; codes: Set<string>; };
 
 type Running = {
     reservation: StreamReservation;
@@ -54,6 +54,7 @@
     seconds: number,
     seed: number,
     isLimited: boolean,
+    readingMilliseconds = 0,
 ): Promise<Outcome> => {
     const random = seededRandom(seed);
     const clock: SteppedClock = steppedClock(0);
@@ -84,11 +85,12 @@
         random,
     };
     const admission = createStreamAdmission(scheduler, shared);
-    const outcome: Outcome = { inTime: 0, late: 0, refused: 0, refusedAfter: [] };
+    const outcome: Outcome = { inTime: 0, late: 0, refused: 0, refusedAfter: [], codes: new Set() };
     const running = new Set<Running>();
 
     const request = async (): Promise<void> => {
         const arrivedAt = clock.now();
+        await clock.sleep(readingMilliseconds, end.signal);
         const context = {
             envelope: { promptTokens: 800, maximumAnswerTokens: 160 },
             route: { objectiveMilliseconds },
@@ -107,6 +109,7 @@
             : taken.unwrapOr(undefined);
         if (reservation === undefined) {
             outcome.refused += 1;
+            taken?.mapErr(({ kind }) => outcome.codes.add(kind));
             outcome.refusedAfter.push(clock.now() - arrivedAt);
             return;
         }
@@ -185,6 +188,11 @@
         }
     });
 
+    it("are refused for the load, also if they were read so late that they can't wait", async () => {
+        const { codes } = await simulate(() => 45, 10, 1, true, objectiveMilliseconds / 2);
+        expect([...codes]).to.deep.equal(["cannot-start-in-time"]);
+    });
+
     it("are served in time again three seconds after a burst", async () => {
         const burst = (now: number): number => now > 10_000 && now < 13_000 ? 60 : 12;
         const withBurst = await simulate(burst, 30, 4, true);
