Hand new expert maps to engines through their agents

The coordinator sent each of 96 engines 16 kB over its link of 4.2 Mbit/s at once, gave up on each after 250 ms and sent it again, up to eight times; and it waited 148 ms for each expert to be loaded, for which this deployment needs 18 ms. The time to load an expert is read from the configuration. Orders that switch maps stay direct.

--- a/src/coordination/experts/groupCoordinator.ts
+++ b/src/coordination/experts/groupCoordinator.ts
@@ -56,8 +56,6 @@
 const versionOriginSeconds = 1_700_000_000;
 /** Number of consecutive refusals after which the increment of the version no longer doubles. */
 const maximumVersionJumpExponent = 16;
-/** Time to copy one expert of 1,700 MB over a link of 92 Gbit/s. */
-const copyMillisecondsPerExpert = 148;
 
 export const createGroupCoordinator = (options: GroupCoordinatorOptions): GroupCoordinator => {
     const { ownRank, ranks, shape, engines, members, clock, timeOfDaySeconds, log, metrics, signal } = options;
@@ -191,7 +189,7 @@
         const outcome = await rankSwitch.run(
             version,
             plan.map,
-            plan.largestCopiesOnOneRank * copyMillisecondsPerExpert,
+            plan.largestCopiesOnOneRank * shape.loadMilliseconds,
             signal,
         );
         if (outcome === "done") {
--- a/src/coordination/experts/rankSwitch.ts
+++ b/src/coordination/experts/rankSwitch.ts
@@ -67,7 +67,9 @@
 
 /** Steps between the report of rank 0 and the hold, so that the orders arrive before the step would begin. */
 const localLeadSteps = 3;
-/** A report from another machine is about 200 ms old, in which time three more steps have begun. */
+/** Age of a report that is read from another machine. */
+const reportAgeMilliseconds = 200;
+/** Three more steps have begun since a report from another machine. */
 const remoteLeadSteps = 7;
 /** Time limit for the held step to begin after its release; a busy group runs ten or more steps per second. */
 const switchTimeoutMilliseconds = 2_500;
@@ -110,7 +112,7 @@
     const awaitPrepared = async (version: number, copyMilliseconds: number, signal: AbortSignal): Promise<boolean> => {
         const deadline = clock.now() + prepareMilliseconds;
         // Reading reports from other machines is charged for, and none can show the map before the copies are done.
-        await clock.sleep(copyMilliseconds, signal);
+        await clock.sleep(copyMilliseconds + reportAgeMilliseconds, signal);
         while (clock.now() < deadline && !signal.aborted) {
             const all = await readReports(signal);
             const isPrepared = all.every(report =>
--- a/src/state/ingressTypes.ts
+++ b/src/state/ingressTypes.ts
@@ -17,6 +17,8 @@
     placesPerRank: number;
     /** The most experts per layer that a rank can load with one new map. */
     newPerMap: number;
+    /** Time that a rank takes to load one expert. */
+    loadMilliseconds: number;
 };
 
 export type WeightedService = { service: string; weight: number; };
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -9,6 +9,7 @@
     type RankUpdate,
 } from "../../coordination/experts/groupCoordinator.js";
 import type { RankEngines, RankReport } from "../../coordination/experts/rankEngine.js";
+import { withRelayedMaps } from "../../coordination/experts/relayedMaps.js";
 import type { DeploymentTopic, FeedDecoder, FeedRecord } from "../../coordination/ingress/deploymentFeed.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
 import type { RecordSource } from "../../coordination/ingress/recordSource.js";
@@ -19,6 +20,7 @@
 import { startMetricsServer } from "../ingress/readinessServer.js";
 import type { Logger } from "../logger.js";
 import { monotonicClock } from "../systemClock.js";
+import { createMapRelay, serveMapRelay } from "./mapRelay.js";
 import { startRankGossip } from "./rankGossip.js";
 
 export type RankAdapter = { records: RecordSource; decode: FeedDecoder; engines: RankEngines; };
@@ -53,6 +55,7 @@
     const metrics = createMetrics();
     const ownEngine = config.engine;
     const [gossipPort] = config.internalPorts;
+    const engines = withRelayedMaps(adapter.engines, ownEngine, createMapRelay(gossipPort));
     const startedAt = clock.now();
     const lowerRankBeacons = new Map<number, { receivedAt: number; address: string; }>();
     let upstreamsByRank: (Upstream | undefined)[] = [];
@@ -149,7 +152,7 @@
                 ownRank: rank,
                 ranks: size,
                 shape: service.experts,
-                engines: adapter.engines,
+                engines,
                 members,
                 clock,
                 timeOfDaySeconds: () => Math.floor(Date.now() / millisecondsPerSecond),
@@ -202,6 +205,10 @@
         coordinator: coordinator?.status(),
     });
     await startMetricsServer(config.metrics, metrics.text, dump);
+    await serveMapRelay(`${config.ip}:${gossipPort}`, {
+        prepare: (epoch, version, map) =>
+            adapter.engines.order(ownEngine, epoch, { kind: "prepare", version, map }, signal),
+    });
     void refreshMembers();
     void reportLoad();
     void sendBeacons();
--- a/tests/experts/mapSwitchFaults.test.ts
+++ b/tests/experts/mapSwitchFaults.test.ts
@@ -7,7 +7,7 @@
 import { steppedClock } from "../support/steppedClock.js";
 
 const size = 4;
-const shape = { layers: 2, experts: 8, placesPerRank: 3, newPerMap: 2 };
+const shape = { layers: 2, experts: 8, placesPerRank: 3, newPerMap: 2, loadMilliseconds: 100 };
 
 /** Starts and stops coordinators of random ranks, also two at once, over a group with faulty orders. */
 const runScenario = async (seed: number, faults: GroupFaults) => {
--- a/tests/experts/sampledPlacement.test.ts
+++ b/tests/experts/sampledPlacement.test.ts
@@ -4,7 +4,7 @@
 import { planFromSamples, roundRobinPlacement } from "../../src/coordination/experts/sampledPlacement.js";
 import { seededRandom } from "../support/random.js";
 
-const shape = { layers: 3, experts: 64, placesPerRank: 11, newPerMap: 4 };
+const shape = { layers: 3, experts: 64, placesPerRank: 11, newPerMap: 4, loadMilliseconds: 100 };
 const ranks = 8;
 const limits = { maximumCopiesPerRank: 8, minimumRelativeGain: 0.01 };
 
