Let the limits of large groups follow them, also with a stream or two an entry

Cause: an entry adapted a group's limit only with four pauses in 250 ms. With 99 entries each has a stream or two on a group, so once the limits had fallen nobody raised them again; entries without a stream kept their last limit for good and held the mean back; and six streams a second more are a fifth of a group of 8 ranks, but a thirtieth of one of 96. Change: a window goes on for up to a second until it has its samples, one without samples follows the other entries, and limits rise by a fifth a second where that is more than six streams, which leaves groups of 8 ranks as they were.

--- a/src/coordination/ingress/groupConcurrencyLimit.ts
+++ b/src/coordination/ingress/groupConcurrencyLimit.ts
@@ -5,7 +5,7 @@
  * some number every further stream makes all of them late. The pause between two events of a stream is one pass, which
  * each entry measures without any message: the limit rises slowly while it is fully used and the pauses are short, and
  * drops when they approach the longest that callers accept. Each entry moves its limit towards the mean of the others',
- * so that an entry with few streams, and hence few samples, doesn't drift.
+ * so that an entry with few streams, and hence few samples, doesn't drift. One without any still follows them.
  *
  * Pauses caused by a stall of the group say nothing about its capacity and are ignored.
  */
@@ -32,11 +32,14 @@
 };
 
 const windowMilliseconds = 250;
+/** A window with too few samples goes on for so long: with a hundred entries each has a stream or two on a group. */
+const longestWindowMilliseconds = 1_000;
 /** Fractions of the gap target; with 85 and 110 ms of 120 in place of 85 and 100, fewer streams were served in time. */
 const increaseBelowGapShare = 0.71;
 const decreaseAboveGapShare = 0.83;
-/** About 6 streams a second, so a group of 8 ranks goes from half to full use in two seconds. */
-const increasePerWindow = 1.5;
+/** Streams per second, or a share of the limit where that is more: a group goes from half to full use in seconds. */
+const increasePerSecond = 6;
+const increaseSharePerSecond = 0.2;
 const mildDecreaseFactor = 0.96;
 const strongDecreaseFactor = 0.88;
 /** Above this fraction of the gap target the strong decrease applies. */
@@ -46,6 +49,7 @@
 const minimumPauseSamples = 4;
 const pauseQuantile = 0.8;
 const minimumLimit = 4;
+const millisecondsPerSecond = 1_000;
 /** Fraction of the distance to the other entries' mean limit that is covered per window. */
 const peerLimitWeight = 0.2;
 
@@ -61,6 +65,7 @@
     let windowStart = clock.now();
 
     const closeWindow = (): void => {
+        const seconds = Math.min(clock.now() - windowStart, longestWindowMilliseconds) / millisecondsPerSecond;
         if (pauseShares.length >= minimumPauseSamples) {
             const sortedPauseShares = pauseShares.sort((left, right) => left - right);
             const highPauseShare = sortedPauseShares[Math.floor(sortedPauseShares.length * pauseQuantile)] ?? 0;
@@ -68,7 +73,7 @@
                 limit *= highPauseShare > strongDecreaseAboveGapShare ? strongDecreaseFactor : mildDecreaseFactor;
             }
             else if (highPauseShare < increaseBelowGapShare && peakRunning >= Math.floor(limit) - 1) {
-                limit += increasePerWindow;
+                limit += Math.max(increasePerSecond, limit * increaseSharePerSecond) * seconds;
             }
         }
         limit += ((peerLimit() ?? limit) - limit) * peerLimitWeight;
@@ -78,18 +83,27 @@
         windowStart = clock.now();
     };
 
+    const closeWindowIfDue = (): void => {
+        const elapsed = clock.now() - windowStart;
+        const hasSamples = pauseShares.length >= minimumPauseSamples;
+        if (elapsed >= (hasSamples ? windowMilliseconds : longestWindowMilliseconds)) {
+            closeWindow();
+        }
+    };
+
     return {
         recordPause: (milliseconds, gapTargetMilliseconds) => {
             const pauseShare = milliseconds / gapTargetMilliseconds;
             if (pauseShare < stallGapTargets) {
                 pauseShares.push(pauseShare);
             }
-            if (clock.now() - windowStart >= windowMilliseconds) {
-                closeWindow();
-            }
+            closeWindowIfDue();
         },
         running: () => running,
-        limit: () => limit,
+        limit: () => {
+            closeWindowIfDue();
+            return limit;
+        },
         acquire: () => {
             running += 1;
             peakRunning = Math.max(peakRunning, runningOnAllEntries());
--- a/tests/ingress/streamOverload.test.ts
+++ b/tests/ingress/streamOverload.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { setMaxListeners } from "node:events";
 import type { KnownUpstream } from "../../src/coordination/ingress/deploymentState.js";
 import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
 import type { RequestContext, RequestDependencies } from "../../src/coordination/ingress/requestContext.js";
@@ -59,6 +60,7 @@
     const random = seededRandom(seed);
     const clock: SteppedClock = steppedClock(0);
     const end = new AbortController();
+    setMaxListeners(0, end.signal);
     const log = createIngressLog(() => undefined, clock);
     const health = createUpstreamHealth(clock, log);
     const scheduler: StreamScheduler = createStreamScheduler({
