Name the limits on requests to upstreams apart from those of listeners

Cause: read as a newcomer, RequestLimits meant two things, the bounds on a request that a listener reads and the limits that upstreams state.

--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -58,7 +58,7 @@
     retryBudget: RetryBudget;
     crashObserver: CrashObserver;
     crashEvidence: Pick<CrashEvidenceTable, "holdOf" | "isNearHold">;
-    requestLimits: Pick<UpstreamLimits, "take">;
+    upstreamLimits: Pick<UpstreamLimits, "take">;
     random: () => number;
 };
 
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -57,7 +57,7 @@
 
 export const createStreamAdmission = (
     scheduler: StreamScheduler,
-    { clock, random, crashEvidence, requestLimits }: RequestDependencies,
+    { clock, random, crashEvidence, upstreamLimits }: RequestDependencies,
 ): StreamAdmission => {
     const queues = new Map<string, FairQueue>();
     const noneExcluded: ReadonlySet<string> = new Set();
@@ -157,7 +157,7 @@
             }
             for (let denied = 0;; denied += 1) {
                 const place = await waitForPlace(context, denied >= deniedUntilUnlimited);
-                if (place.isErr() || await requestLimits.take(place.value.upstream, signal) || signal.aborted) {
+                if (place.isErr() || await upstreamLimits.take(place.value.upstream, signal) || signal.aborted) {
                     return place;
                 }
                 place.value.release();
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -62,7 +62,7 @@
     state: Pick<DeploymentState, "usable" | "all">;
     health: Pick<UpstreamHealth, "isEjected">;
     pauses: Pick<UpstreamPauses, "isPaused" | "millisecondsUntilFirst">;
-    requestLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen">;
+    upstreamLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen">;
     clock: Clock;
     peerStatuses: Pick<PeerStatusTable, "runningOn" | "limitOf" | "countAgeSeconds">;
     /** Queries one engine for the state of its group; undefined if it doesn't respond. */
@@ -100,7 +100,7 @@
 };
 
 export const createStreamScheduler = (options: StreamSchedulerOptions): StreamScheduler => {
-    const { state, health, pauses, requestLimits, clock, peerStatuses, queryEngine, log, random, signal } = options;
+    const { state, health, pauses, upstreamLimits, clock, peerStatuses, queryEngine, log, random, signal } = options;
     const concurrencyLimits = new Map<string, GroupConcurrencyLimit>();
     const stallDetectors = new Map<string, GroupStallDetector>();
     const runningByUpstream = new Map<string, number>();
@@ -190,7 +190,7 @@
         candidateUpstreams: KnownUpstream[],
         admissionClass: StreamAdmissionClass,
     ): StreamReservation | undefined => {
-        const upstreams = candidateUpstreams.filter(upstream => requestLimits.millisecondsUntilOpen(upstream) <= 0);
+        const upstreams = candidateUpstreams.filter(upstream => upstreamLimits.millisecondsUntilOpen(upstream) <= 0);
         const unseenStarts = startRate.perSecond() * peerStatuses.countAgeSeconds();
         const candidate = chooseGroup(
             groupsWithCapacity(upstreams, admissionClass),
@@ -232,7 +232,7 @@
     return {
         reserve: (service, excluded, admissionClass, prefersUnlimited = false) => {
             const upstreams = candidates(service, excluded);
-            const unlimited = prefersUnlimited ? upstreams.filter(upstream => !requestLimits.isLimited(upstream)) : [];
+            const unlimited = prefersUnlimited ? upstreams.filter(upstream => !upstreamLimits.isLimited(upstream)) : [];
             return reserveAmong(unlimited, admissionClass) ?? reserveAmong(upstreams, admissionClass);
         },
         reserveElsewhere: (upstream, excluded) => {
@@ -250,7 +250,7 @@
                 overall: runningOnAllEntries(group),
             })),
         pauseMilliseconds: service => pauses.millisecondsUntilFirst(state.usable(service)),
-        limitState: (service, excluded) => limitStateOf(candidates(service, excluded), requestLimits),
+        limitState: (service, excluded) => limitStateOf(candidates(service, excluded), upstreamLimits),
         hasUpstream: (service, excluded) => candidates(service, excluded).length > 0,
         hasRunningGroup: () =>
             stallDetectors.size === 0 || [...stallDetectors.values()].some(stallDetector => stallDetector.isRunning()),
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -67,7 +67,7 @@
     admission: StreamAdmission,
     dependencies: RequestDependencies,
 ) => {
-    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, requestLimits } = dependencies;
+    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits } = dependencies;
 
     const readFullBody = createBodyReader();
 
@@ -219,7 +219,7 @@
                 reservation.release();
                 return undefined;
             }
-            if (reservation !== undefined && await requestLimits.take(reservation.upstream, context.signal)) {
+            if (reservation !== undefined && await upstreamLimits.take(reservation.upstream, context.signal)) {
                 return reservation;
             }
             reservation?.release();
@@ -259,7 +259,7 @@
                 continue;
             }
             const place = scheduler.reserveElsewhere(upstream, attempts.excluded);
-            const mayUse = place !== undefined && await requestLimits.take(place.upstream, attemptEnd.signal);
+            const mayUse = place !== undefined && await upstreamLimits.take(place.upstream, attemptEnd.signal);
             if (!mayUse || attemptEnd.signal.aborted || !retryBudget.takeRetry()) {
                 place?.release();
                 await clock.sleep(moveRetryMilliseconds, attemptEnd.signal);
--- a/src/coordination/ingress/unaryScheduler.ts
+++ b/src/coordination/ingress/unaryScheduler.ts
@@ -39,7 +39,7 @@
     health: Pick<UpstreamHealth, "isEjected">;
     responseTimes: Pick<ResponseTimes, "estimate">;
     pauses: Pick<UpstreamPauses, "isPaused" | "millisecondsUntilFirst">;
-    requestLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen">;
+    upstreamLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen">;
     availabilityZone: string;
     /** Number of requests that the other entries run on an upstream. */
     runningOnOtherEntries: (id: string) => number;
@@ -50,7 +50,7 @@
 const crossZoneCostMilliseconds = 5;
 
 export const createUnaryScheduler = (options: UnarySchedulerOptions): UnaryScheduler => {
-    const { state, health, responseTimes, pauses, requestLimits, availabilityZone, runningOnOtherEntries, random } =
+    const { state, health, responseTimes, pauses, upstreamLimits, availabilityZone, runningOnOtherEntries, random } =
         options;
     const running = new Map<string, number>();
 
@@ -83,9 +83,9 @@
     return {
         reserve: (service, excluded, prefersUnlimited = false) => {
             const open = candidates(service, excluded).filter(upstream =>
-                requestLimits.millisecondsUntilOpen(upstream) <= 0
+                upstreamLimits.millisecondsUntilOpen(upstream) <= 0
             );
-            const unlimited = prefersUnlimited ? open.filter(upstream => !requestLimits.isLimited(upstream)) : [];
+            const unlimited = prefersUnlimited ? open.filter(upstream => !upstreamLimits.isLimited(upstream)) : [];
             const upstream = choose(unlimited.length > 0 ? unlimited : open);
             if (upstream === undefined) {
                 return undefined;
@@ -98,7 +98,7 @@
             };
         },
         running: () => running,
-        limitState: (service, excluded) => limitStateOf(candidates(service, excluded), requestLimits),
+        limitState: (service, excluded) => limitStateOf(candidates(service, excluded), upstreamLimits),
         pauseMilliseconds: service => pauses.millisecondsUntilFirst(state.usable(service)),
     };
 };
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -68,7 +68,7 @@
     responseTimes: Pick<ResponseTimes, "record">,
     dependencies: RequestDependencies,
 ) => {
-    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, requestLimits, random } =
+    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits, random } =
         dependencies;
 
     const readFullBody = createBodyReader();
@@ -137,7 +137,7 @@
         let denied = 0;
         while (!signal.aborted) {
             const reservation = scheduler.reserve(service, excluded, denied >= deniedUntilUnlimited);
-            if (reservation !== undefined && await requestLimits.take(reservation.upstream, signal)) {
+            if (reservation !== undefined && await upstreamLimits.take(reservation.upstream, signal)) {
                 return ok(reservation);
             }
             reservation?.release();
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -46,7 +46,7 @@
 import { isPortClosed } from "./portCheck.js";
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
 import { createRelayedSource } from "./recordRelay.js";
-import { createRequestLimits } from "./requestLimits.js";
+import { createUpstreamRateLimiter } from "./upstreamRateLimiter.js";
 import { createSender } from "./upstreamSender.js";
 
 /** Access to a platform: its header fields, store and engines. */
@@ -108,7 +108,15 @@
         createRetryReserve(config, peerStatuses.maximumEntriesSeen),
     );
     const knownEntries = new Map<string, PeerEntry>();
-    const requestLimits = createRequestLimits({ ...config, knownEntries, upstreams: state.all, clock, log, metrics });
+    const upstreamLimits = createUpstreamRateLimiter({
+        ...config,
+        knownEntries,
+        upstreams: state.all,
+        clock,
+        log,
+        metrics,
+    });
+    const notices = { state, pauses, limits: upstreamLimits.stated };
     const storeMonitor = createStoreMonitor(clock, () => sharedRecords.storeTurn());
     const sharedRecords = createSharedRecords({
         host: config.host,
@@ -167,14 +175,14 @@
         retryBudget,
         crashObserver,
         crashEvidence,
-        requestLimits,
+        upstreamLimits,
         random: Math.random,
     };
     const streamScheduler = createStreamScheduler({
         state,
         health,
         pauses,
-        requestLimits,
+        upstreamLimits,
         clock,
         peerStatuses,
         queryEngine: async ({ address }, querySignal) =>
@@ -189,7 +197,7 @@
         health,
         responseTimes,
         pauses,
-        requestLimits,
+        upstreamLimits,
         availabilityZone: config.availabilityZone,
         runningOnOtherEntries: peerStatuses.runningOn,
         random: Math.random,
@@ -233,7 +241,7 @@
         onStatuses: statuses => {
             statuses.flatMap(({ store }) => store ?? []).forEach(storeMonitor.recordPeerStatus);
             statuses.flatMap(status => status.crashEvidence ?? []).forEach(crashEvidence.merge);
-            requestLimits.recordStatuses(statuses);
+            upstreamLimits.recordStatuses(statuses);
             statuses.flatMap(({ leaving }) => Object.entries(leaving)).forEach(([id, bornAt]) =>
                 state.markLeaving(id, bornAt, "another entry")
             );
@@ -248,7 +256,7 @@
             isServed: sharedRecords.isServed(),
             hasRead: sharedRecords.hasRead(),
             leaving: state.leavingToGossip(),
-            statedLimits: requestLimits.statementsToGossip(),
+            statedLimits: upstreamLimits.statementsToGossip(),
             crashEvidence: crashEvidenceToGossip(),
         }),
         clock,
@@ -291,11 +299,7 @@
             arrivedAt,
             callerDeadlineAt: arrivedAt + patienceMilliseconds,
             responseDueAt,
-            send: withNotices(
-                createSender(platform.headerAdapter, message, body),
-                { state, pauses, limits: requestLimits.stated },
-                clock,
-            ),
+            send: withNotices(createSender(platform.headerAdapter, message, body), notices, clock),
             sink,
             signal: boundedSignal.signal,
             callerGone,
@@ -339,7 +343,7 @@
     };
     const peerServer = await startPeerServer(
         `${config.ip}:${config.internalPorts[0]}`,
-        { records: sharedRecords.cache, requestLimits },
+        { records: sharedRecords.cache, upstreamLimits },
         signal,
     );
     const readiness = await startReadinessServer(config.readiness, platform.readinessPath, isReady);
@@ -354,7 +358,7 @@
         upstreams: state.all(),
         groups: streamScheduler.groups(),
         heldBack: crashEvidence.holds(),
-        statedLimits: requestLimits.stated.limits(),
+        statedLimits: upstreamLimits.stated.limits(),
     });
     const metricsServer = await startMetricsServer(config.metrics, metrics.text, describeState);
 
--- a/src/transport/ingress/peerServer.ts
+++ b/src/transport/ingress/peerServer.ts
@@ -11,7 +11,7 @@
 import { requestPermitEndpoint, requestPermitRouter } from "../../protocol/requestPermitRouter.js";
 import { listen, type Listener, type NodeBindings } from "../httpServer.js";
 
-export type PeerServices = { records: RecordSource; requestLimits: Pick<UpstreamLimits, "answer">; };
+export type PeerServices = { records: RecordSource; upstreamLimits: Pick<UpstreamLimits, "answer">; };
 
 /**
  * Serves other entries on `address` (`ip:port`). A read of records ends when its caller is gone, `signal` aborts or the
@@ -19,7 +19,7 @@
  */
 export const startPeerServer = async (
     address: string,
-    { records, requestLimits }: PeerServices,
+    { records, upstreamLimits }: PeerServices,
     signal: AbortSignal,
 ): Promise<Listener> => {
     const closing = new AbortController();
@@ -49,7 +49,7 @@
             endpoint: requestPermitEndpoint,
             req: req.raw,
             router: requestPermitRouter,
-            createContext: () => ({ answer: requestLimits.answer }),
+            createContext: () => ({ answer: upstreamLimits.answer }),
         }));
     const listener = await listen(application, address);
     return {
--- a/src/transport/ingress/upstreamRateLimiter.ts
+++ b/src/transport/ingress/upstreamRateLimiter.ts
@@ -16,13 +16,13 @@
 import type { Clock } from "../../state/types.js";
 import { createPermitClient } from "./requestPermitClient.js";
 
-export type RequestLimits = UpstreamLimits & {
+export type UpstreamRateLimiter = UpstreamLimits & {
     stated: StatedLimits;
     /** Takes in the statuses that were received from other entries. */
     recordStatuses: (statuses: EntryStatus[]) => void;
 };
 
-export type RequestLimitsOptions = {
+export type UpstreamRateLimiterOptions = {
     host: string;
     availabilityZone: string;
     /** All other known entries by host name. */
@@ -34,7 +34,7 @@
     metrics: Metrics;
 };
 
-export const createRequestLimits = (options: RequestLimitsOptions): RequestLimits => {
+export const createUpstreamRateLimiter = (options: UpstreamRateLimiterOptions): UpstreamRateLimiter => {
     const { knownEntries, clock, log } = options;
     const stated = createStatedLimits(clock, log);
     const roster = createEntryRoster(options);
--- a/tests/ingress/streamOverload.test.ts
+++ b/tests/ingress/streamOverload.test.ts
@@ -15,7 +15,7 @@
 import { createRetryBudget } from "../../src/coordination/retryBudget.js";
 import type { Clock } from "../../src/state/types.js";
 import { noCrashEvidence, unusedCrashObserver } from "../support/crashes.js";
-import { noRequestLimits } from "../support/noRequestLimits.js";
+import { noUpstreamLimits } from "../support/noUpstreamLimits.js";
 import { seededRandom } from "../support/random.js";
 import { type SteppedClock, steppedClock } from "../support/steppedClock.js";
 import { listedUpstream } from "../support/upstreams.js";
@@ -67,7 +67,7 @@
         state: { usable: () => upstreams, all: () => upstreams },
         health,
         pauses: createUpstreamPauses(clock, log),
-        requestLimits: noRequestLimits,
+        upstreamLimits: noUpstreamLimits,
         clock,
         peerStatuses: { runningOn: () => 0, limitOf: () => undefined, countAgeSeconds: () => 0 },
         queryEngine: async () => undefined,
@@ -83,7 +83,7 @@
         retryBudget: createRetryBudget(clock, () => 0),
         crashObserver: unusedCrashObserver,
         crashEvidence: noCrashEvidence,
-        requestLimits: noRequestLimits,
+        upstreamLimits: noUpstreamLimits,
         random,
     };
     const admission = createStreamAdmission(scheduler, shared);
--- a/tests/ingress/streamPlacing.test.ts
+++ b/tests/ingress/streamPlacing.test.ts
@@ -10,7 +10,7 @@
 import { createStreamScheduler } from "../../src/coordination/ingress/streamScheduler.js";
 import { createUpstreamHealth } from "../../src/coordination/ingress/upstreamHealth.js";
 import { createUpstreamPauses } from "../../src/coordination/ingress/upstreamPauses.js";
-import { noRequestLimits } from "../support/noRequestLimits.js";
+import { noUpstreamLimits } from "../support/noUpstreamLimits.js";
 import { seededRandom } from "../support/random.js";
 import { steppedClock } from "../support/steppedClock.js";
 import { listedUpstream } from "../support/upstreams.js";
@@ -52,7 +52,7 @@
             state: { usable: () => upstreams, all: () => upstreams },
             health: createUpstreamHealth(clock, log),
             pauses: createUpstreamPauses(clock, log),
-            requestLimits: noRequestLimits,
+            upstreamLimits: noUpstreamLimits,
             clock,
             peerStatuses: {
                 runningOn: id => (toldTotals.get(id) ?? 0) - (told[entry]?.get(id) ?? 0),
--- a/tests/support/entryFleet.ts
+++ b/tests/support/entryFleet.ts
@@ -27,7 +27,7 @@
 import type { Clock } from "../../src/state/types.js";
 import { type CrashingServerModel, type FleetRequest, startCrashingServerModel } from "./crashingServerModel.js";
 import { startEvidenceStoreModel } from "./evidenceStoreModel.js";
-import { noRequestLimits } from "./noRequestLimits.js";
+import { noUpstreamLimits } from "./noUpstreamLimits.js";
 import { seededRandom } from "./random.js";
 import { type SteppedClock, steppedClock } from "./steppedClock.js";
 
@@ -184,14 +184,14 @@
             retryBudget: createRetryBudget(ownClock, () => 1),
             crashObserver,
             crashEvidence: table,
-            requestLimits: noRequestLimits,
+            upstreamLimits: noUpstreamLimits,
             random,
         };
         const scheduler = createStreamScheduler({
             state: { usable: servers.upstreams, all: servers.upstreams },
             health,
             pauses: createUpstreamPauses(ownClock, log),
-            requestLimits: noRequestLimits,
+            upstreamLimits: noUpstreamLimits,
             clock: ownClock,
             peerStatuses,
             queryEngine: async () => undefined,
--- a/tests/support/noUpstreamLimits.ts
+++ b/tests/support/noUpstreamLimits.ts
@@ -3,7 +3,7 @@
  */
 import type { UpstreamLimits } from "../../src/coordination/ingress/upstreamLimits.js";
 
-export const noRequestLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen" | "take"> = {
+export const noUpstreamLimits: Pick<UpstreamLimits, "isLimited" | "millisecondsUntilOpen" | "take"> = {
     isLimited: () => false,
     millisecondsUntilOpen: () => 0,
     take: async () => true,
--- a/tests/support/unaryLoadModel.ts
+++ b/tests/support/unaryLoadModel.ts
@@ -11,7 +11,7 @@
 import { createUnaryScheduler, type UnaryScheduler } from "../../src/coordination/ingress/unaryScheduler.js";
 import { createUpstreamHealth } from "../../src/coordination/ingress/upstreamHealth.js";
 import { createUpstreamPauses } from "../../src/coordination/ingress/upstreamPauses.js";
-import { noRequestLimits } from "./noRequestLimits.js";
+import { noUpstreamLimits } from "./noUpstreamLimits.js";
 import { seededRandom } from "./random.js";
 import { listedUpstream } from "./upstreams.js";
 
@@ -84,7 +84,7 @@
             health: createUpstreamHealth(clock, log),
             responseTimes,
             pauses: createUpstreamPauses(clock, log),
-            requestLimits: noRequestLimits,
+            upstreamLimits: noUpstreamLimits,
             availabilityZone: zones[index % zones.length] as string,
             runningOnOtherEntries: id => (toldTotals.get(id) ?? 0) - (told[index]?.get(id) ?? 0),
             random,
