Ask only the ranks that have not loaded a map yet for their reports

While a map is being loaded, the coordinator read the reports of all 96 ranks every 150 ms until the last had it, for nine seconds if one can't be reached. Change: a rank that has reported the map is not asked again; one that loses it refuses to be armed, so the switch stays as safe.

--- a/src/coordination/experts/rankSwitch.ts
+++ b/src/coordination/experts/rankSwitch.ts
@@ -108,22 +108,28 @@
     const readReports = (signal: AbortSignal): Promise<Result<RankReport, string>[]> =>
         Promise.all(members().map(engine => engines.report(engine, signal)));
 
-    /** Waits until every rank reports `version` as prepared and nothing as armed. */
+    /**
+     * Waits until every rank has reported `version` as prepared and nothing as armed. A rank that has is not asked again;
+     * should it lose the map meanwhile, it refuses to be armed.
+     */
     const awaitPrepared = async (version: number, copyMilliseconds: number, signal: AbortSignal): Promise<boolean> => {
         const deadline = clock.now() + prepareMilliseconds;
         // Reading reports from other machines is charged for, and none can show the map before the copies are done.
         await clock.sleep(copyMilliseconds + reportAgeMilliseconds, signal);
+        let pending = members();
         while (clock.now() < deadline && !signal.aborted) {
-            const all = await readReports(signal);
-            const isPrepared = all.every(report =>
-                report.isOk() && report.value.prepared === version && report.value.armed === undefined
-            );
-            if (isPrepared) {
-                return true;
-            }
-            if (all.some(report => report.isOk() && report.value.epoch !== epoch)) {
+            const reports = await Promise.all(pending.map(engine => engines.report(engine, signal)));
+            if (reports.some(report => report.isOk() && report.value.epoch !== epoch)) {
                 return false;
             }
+            pending = pending.filter((engine, index) => {
+                const report = reports[index];
+                return report === undefined || report.isErr() || report.value.prepared !== version
+                    || report.value.armed !== undefined;
+            });
+            if (pending.length === 0) {
+                return true;
+            }
             await clock.sleep(pollMilliseconds, signal);
         }
         return false;
