Let late requests that are denied a permit go to an upstream without a limit

Cause: found on reading. A retry, or a request that was read late, comes after the time that it may wait for a permit; denied one, it was refused as upstreams-limited though another upstream had no limit. Evidence: two tests failed before (refused) and pass (sent to the upstream without a limit).

--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -162,7 +162,7 @@
                 }
                 place.value.release();
                 retryQueued();
-                if (clock.now() > startDeadlineOf(context)) {
+                if (clock.now() > startDeadlineOf(context) && denied >= deniedUntilUnlimited) {
                     return err(allLimited(scheduler.limitState(service, noneExcluded)));
                 }
             }
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -143,10 +143,13 @@
             reservation?.release();
             denied += reservation === undefined ? 0 : 1;
             const { millisecondsUntilOpen } = scheduler.limitState(service, excluded);
-            if (clock.now() + millisecondsUntilOpen > waitUntil) {
+            const opensTooLate = millisecondsUntilOpen > 0 && clock.now() + millisecondsUntilOpen > waitUntil;
+            if (opensTooLate || clock.now() > waitUntil && denied > deniedUntilUnlimited) {
                 return err(Number.isFinite(millisecondsUntilOpen) ? "limited" : "none");
             }
-            await clock.sleep(millisecondsUntilOpen, signal);
+            if (millisecondsUntilOpen > 0) {
+                await clock.sleep(millisecondsUntilOpen, signal);
+            }
         }
         return err("none");
     };
