Add interfaces for shared demand, costs of requests and platform conditions

Entries will decide by the demand and the outstanding work of all entries, and some parts take effect only under conditions that the platform states.

--- a/src/coordination/ingress/headerAdapter.ts
+++ b/src/coordination/ingress/headerAdapter.ts
@@ -14,6 +14,8 @@
     /** The last event that the caller has received; undefined leaves the caller's own header field unchanged. */
     lastEventId: string | undefined;
     bodyBytes: number;
+    /** Position in the upstream's own queue, 0 (first) to 9; undefined leaves it to the upstream. */
+    queuePriority?: number | undefined;
 };
 
 /** What the headers of a response state about it. */
--- a/src/coordination/ingress/peerStatusTable.ts
+++ b/src/coordination/ingress/peerStatusTable.ts
@@ -10,6 +10,28 @@
 import type { LimitStatement } from "./statedLimits.js";
 import type { StoreReadStatus } from "./storeMonitor.js";
 
+/** Streams of one priority that one entry sees for one service. */
+export type PriorityDemand = {
+    /** 0 is the highest. */
+    priority: number;
+    /** Streams a second that arrived lately. */
+    arrivalsPerSecond: number;
+    /** Streams a second that got a place lately. */
+    startsPerSecond: number;
+    /** Streams that wait for a place now. */
+    waiting: number;
+};
+
+/** Work that one entry's requests still have to do on one upstream. */
+export type OutstandingWork = {
+    /** Prompt tokens of streams without an event so far. */
+    promptTokens: number;
+    /** Tokens that are expected to be written; for unary requests, milliseconds of work. */
+    remaining: number;
+    /** Tokens of prompts and answers that may be in the upstream's memory. */
+    heldTokens: number;
+};
+
 /** What one entry reports about itself. */
 export type EntryStatus = {
     host: string;
@@ -22,6 +44,10 @@
     running: Record<string, number>;
     /** Its concurrency limit for each group. */
     limits: Record<string, number>;
+    /** Its demand by service, in the order of priorities; only for services whose routes differ in priority. */
+    demand: Record<string, PriorityDemand[]>;
+    /** Its outstanding work by upstream id; only for services that are routed by cost. */
+    work: Record<string, OutstandingWork>;
     /** Undefined until it has read both topics of the store once. */
     store: StoreReadStatus | undefined;
     /** Whether the store answered its latest call; true before the first. */
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -125,7 +125,10 @@
                 if (hold !== undefined) {
                     return { kind: "done", value: err(heldBack(hold)) };
                 }
-                const reservation = scheduler.reserve(service, noneExcluded, "new", prefersUnlimited);
+                const reservation = scheduler.reserve(service, noneExcluded, {
+                    admissionClass: "new",
+                    prefersUnlimited,
+                });
                 if (reservation !== undefined) {
                     return { kind: "done", value: ok(reservation) };
                 }
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -12,6 +12,7 @@
 import { createGroupStallDetector, type GroupProgress, type GroupStallDetector } from "./groupStallDetector.js";
 import type { IngressLog } from "./ingressLog.js";
 import type { PeerStatusTable } from "./peerStatusTable.js";
+import type { StreamCost } from "./streamCost.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import { type LimitState, limitStateOf, type UpstreamLimits } from "./upstreamLimits.js";
 import type { UpstreamPauses } from "./upstreamPauses.js";
@@ -31,17 +32,20 @@
  */
 export type StreamAdmissionClass = "new" | "admitted";
 
+/** What a stream asks of a place. */
+export type PlaceRequest = {
+    admissionClass: StreamAdmissionClass;
+    /** Upstreams that state a limit on requests are chosen only if no other has capacity. */
+    prefersUnlimited?: boolean;
+    /** Free places of the service, over all of its groups, that are left to more urgent streams. */
+    heldBackPlaces?: number;
+    /** What the stream is expected to cost; undefined if its service is not routed by cost. */
+    cost?: StreamCost | undefined;
+};
+
 export type StreamScheduler = {
-    /**
-     * Reserves capacity on an upstream not in `excluded`; undefined while none is available to this class. With
-     * `prefersUnlimited`, upstreams that state a limit on requests are chosen only if no other has capacity.
-     */
-    reserve: (
-        service: string,
-        excluded: ReadonlySet<string>,
-        admissionClass: StreamAdmissionClass,
-        prefersUnlimited?: boolean,
-    ) => StreamReservation | undefined;
+    /** Reserves capacity on an upstream not in `excluded`; undefined while none is available to this request. */
+    reserve: (service: string, excluded: ReadonlySet<string>, request: PlaceRequest) => StreamReservation | undefined;
     /** Reserves capacity for a stream of `upstream` on another one, of another group if they are in groups. */
     reserveElsewhere: (upstream: KnownUpstream, excluded: ReadonlySet<string>) => StreamReservation | undefined;
     /** This entry's streams by upstream id. */
@@ -230,7 +234,7 @@
     };
 
     return {
-        reserve: (service, excluded, admissionClass, prefersUnlimited = false) => {
+        reserve: (service, excluded, { admissionClass, prefersUnlimited = false }) => {
             const upstreams = candidates(service, excluded);
             const unlimited = prefersUnlimited ? upstreams.filter(upstream => !upstreamLimits.isLimited(upstream)) : [];
             return reserveAmong(unlimited, admissionClass) ?? reserveAmong(upstreams, admissionClass);
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -214,7 +214,7 @@
     ): Promise<StreamReservation | undefined> => {
         const resumeBy = (progress.lastEventAt ?? context.arrivedAt) + resumeWindowMilliseconds;
         for (;;) {
-            const reservation = scheduler.reserve(context.service, attempts.excluded, "admitted");
+            const reservation = scheduler.reserve(context.service, attempts.excluded, { admissionClass: "admitted" });
             if (reservation !== undefined && isHeldBack(context, attempts)) {
                 reservation.release();
                 return undefined;
--- a/src/programs/ingress.ts
+++ b/src/programs/ingress.ts
@@ -6,7 +6,7 @@
 import { createCrashEvidenceStore } from "../../platform/crashRecords.js";
 import { platformEngines } from "../../platform/engineClient.js";
 import { createMemberList } from "../../platform/memberRecords.js";
-import { configurationFileVariable, paths } from "../../platform/names.js";
+import { configurationFileVariable, paths, slowReadersContract } from "../../platform/names.js";
 import { createRecordSource } from "../../platform/recordSource.js";
 import { platformHeaderAdapter } from "../../platform/requestHeaders.js";
 import { createStoreClient } from "../../platform/storeClient.js";
@@ -42,6 +42,7 @@
             createCrashEvidenceStore: (source: RecordSource) => createCrashEvidenceStore(store, source),
             engines: platformEngines,
             readinessPath: paths.readiness,
+            conditions: { hasSlowReaders: config.platformContracts.includes(slowReadersContract) },
         };
         logger.info("starting", { callers: config.callers, store: config.store.address });
         const daemon = await startIngress(config, adapter, logger, lifetime.signal);
--- a/src/protocol/entryGossipMessages.ts
+++ b/src/protocol/entryGossipMessages.ts
@@ -19,6 +19,10 @@
     ageMilliseconds: z.number(),
 });
 
+// Tuples keep the message small: one entry names hundreds of upstreams.
+const demandSchema = z.tuple([z.number(), z.number(), z.number(), z.number()]);
+const workSchema = z.tuple([z.number(), z.number(), z.number()]);
+
 const entryStatusSchema = z.object({
     host: z.string(),
     availabilityZone: z.string(),
@@ -26,6 +30,8 @@
     sequence: z.number(),
     running: z.record(z.string(), z.number()),
     limits: z.record(z.string(), z.number()),
+    demand: z.record(z.string(), z.array(demandSchema)).default({}),
+    work: z.record(z.string(), workSchema).default({}),
     // Entries of earlier builds state offsets only, and neither whether they are served nor what they have read.
     store: z.object({
         contactAge: z.number(),
@@ -48,8 +54,29 @@
 
 type WireStatus = z.infer<typeof entryStatusSchema>;
 
-const toWire = ({ store, ...status }: EntryStatus): WireStatus => ({
+const mapValues = <From, To>(record: Record<string, From>, map: (value: From) => To): Record<string, To> =>
+    Object.fromEntries(Object.entries(record).map(([key, value]) => [key, map(value)]));
+
+/** Rates and amounts of work are sent as whole numbers or with one decimal, which is enough to decide by. */
+const withOneDecimal = (value: number): number => Math.round(value * 10) / 10;
+
+const toWire = ({ store, demand, work, ...status }: EntryStatus): WireStatus => ({
     ...status,
+    demand: mapValues(
+        demand,
+        priorities =>
+            priorities.map(({ priority, arrivalsPerSecond, startsPerSecond, waiting }) => [
+                priority,
+                withOneDecimal(arrivalsPerSecond),
+                withOneDecimal(startsPerSecond),
+                waiting,
+            ]),
+    ),
+    work: mapValues(work, ({ promptTokens, remaining, heldTokens }) => [
+        Math.round(promptTokens),
+        Math.round(remaining),
+        Math.round(heldTokens),
+    ]),
     ...store === undefined ? {} : {
         store: {
             contactAge: store.contactAge,
@@ -64,8 +91,19 @@
     map: (value: From) => To,
 ): Record<DeploymentTopic, To> => ({ operator: map(operator), upstreams: map(upstreams) });
 
-const fromWire = ({ store, ...status }: WireStatus): EntryStatus => ({
-    ...status as Omit<EntryStatus, "store">,
+const fromWire = ({ store, demand, work, ...status }: WireStatus): EntryStatus => ({
+    ...status as Omit<EntryStatus, "store" | "demand" | "work">,
+    demand: mapValues(
+        demand,
+        priorities =>
+            priorities.map(([priority, arrivalsPerSecond, startsPerSecond, waiting]) => ({
+                priority,
+                arrivalsPerSecond,
+                startsPerSecond,
+                waiting,
+            })),
+    ),
+    work: mapValues(work, ([promptTokens, remaining, heldTokens]) => ({ promptTokens, remaining, heldTokens })),
     store: store === undefined ? undefined : {
         contactAge: store.contactAge,
         positions: {
--- a/src/protocol/ingressConfig.ts
+++ b/src/protocol/ingressConfig.ts
@@ -31,6 +31,15 @@
     /** Retries allowed per window in addition to the ratio, over all entries. */
     retrySlack: z.number().min(0),
     retryWindowSeconds: z.number().positive(),
+    /** Memory at which the platform ends the process, in megabytes; undefined if there is no limit. */
+    memoryMegabytes: z.number().positive().optional(),
+    /** The platform's own names of the conditions in force; read by the platform's adapter only. */
+    platformContracts: z.array(z.string()).default([]),
+    /** Places requests by their expected cost at services where costs vary enough. */
+    costRouting: z.object({
+        /** Least coefficient of variation of the answers' lengths of a service. */
+        minimumVariation: z.number().nonnegative(),
+    }).optional(),
 });
 
 export type IngressConfig = z.infer<typeof ingressConfigSchema>;
--- a/src/state/ingressTypes.ts
+++ b/src/state/ingressTypes.ts
@@ -47,8 +47,26 @@
     gapTargetMilliseconds: number;
 };
 
+/** What the operator states of a model engine's speed and memory; all servers of a service have the same. */
+export type EngineProfile = {
+    /** Tokens that the requests of one server may hold together. */
+    tokenMemory: number;
+    /** Decoding steps between two events of a stream. */
+    stepsPerPass: number;
+    millisecondsPerStep: number;
+    /** Added to each step for each stream that is being written. */
+    millisecondsPerStream: number;
+    /** Added to each step for each 1,000 tokens of context of the streams that are being written. */
+    millisecondsPerThousandContextTokens: number;
+    promptTokensPerMillisecond: number;
+    usualPromptTokens: number;
+    usualAnswerTokens: number;
+};
+
 export type UpstreamService = {
     name: string;
+    /** Undefined for a service that is no model, or if the operator doesn't state it. */
+    engine: EngineProfile | undefined;
     /** Dimensions of its groups' expert maps; undefined for a service that is no mixture-of-experts model. */
     experts: ExpertShape | undefined;
 };
@@ -106,6 +124,8 @@
     apiKey: string | undefined;
     promptTokens: number;
     maximumAnswerTokens: number;
+    /** The caller's estimate of the answer's length; right at the median, but often far off. Undefined if not stated. */
+    expectedAnswerTokens: number | undefined;
     /** Ids of the parts of the prompt in order; requests share parts, but the last belongs to one request or session. */
     promptParts: string[];
     /** The event after which to resume a stream; undefined to start from the beginning. */
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -4,19 +4,15 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
-import type { RankEngines } from "../../coordination/experts/rankEngine.js";
-import { type CrashEvidenceStore, startCrashEvidenceSync } from "../../coordination/ingress/crashEvidenceSync.js";
+import { startCrashEvidenceSync } from "../../coordination/ingress/crashEvidenceSync.js";
 import { createCrashEvidenceTable } from "../../coordination/ingress/crashEvidenceTable.js";
 import { createCrashObserver } from "../../coordination/ingress/crashObserver.js";
-import { type FeedDecoder, followDeployment } from "../../coordination/ingress/deploymentFeed.js";
+import { followDeployment } from "../../coordination/ingress/deploymentFeed.js";
 import { createDeploymentState } from "../../coordination/ingress/deploymentState.js";
 import type { PeerEntry } from "../../coordination/ingress/gossipSchedule.js";
-import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
-import type { MemberList } from "../../coordination/ingress/memberList.js";
 import { createPeerStatusTable } from "../../coordination/ingress/peerStatusTable.js";
 import { createRecordPeers } from "../../coordination/ingress/recordPeers.js";
-import type { RecordSource } from "../../coordination/ingress/recordSource.js";
 import type { RequestContext, RequestDependencies } from "../../coordination/ingress/requestContext.js";
 import { requestTraits, suspectTraits } from "../../coordination/ingress/requestTraits.js";
 import { createResponseTimes } from "../../coordination/ingress/responseTimes.js";
@@ -43,25 +39,13 @@
 import { type CallerRequest, startCallerServer } from "./callerServer.js";
 import { startEntryGossip } from "./entryGossip.js";
 import { startPeerServer } from "./peerServer.js";
+import type { PlatformAdapter } from "./platformAdapter.js";
 import { isPortClosed } from "./portCheck.js";
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
 import { createRelayedSource } from "./recordRelay.js";
 import { createUpstreamRateLimiter } from "./upstreamRateLimiter.js";
 import { createSender } from "./upstreamSender.js";
 
-/** Access to a platform: its header fields, store and engines. */
-export type PlatformAdapter = {
-    headerAdapter: HeaderAdapter;
-    /** The platform's store. */
-    records: RecordSource;
-    decode: FeedDecoder;
-    /** The list of the deployment's entries, read through `source`. */
-    createMemberList: (source: RecordSource) => MemberList;
-    createCrashEvidenceStore: (source: RecordSource) => CrashEvidenceStore;
-    engines: Pick<RankEngines, "report">;
-    readinessPath: string;
-};
-
 export type IngressDaemon = {
     /** Bound listener addresses as `ip:port`. */
     addresses: { callers: string; readiness: string; metrics: string; };
@@ -251,6 +235,8 @@
         ownStatusFields: () => ({
             incarnation,
             running: runningByUpstream(),
+            demand: {},
+            work: {},
             limits: Object.fromEntries(streamScheduler.groups().map(({ group, limit }) => [group, limit])),
             store: storeMonitor.readStatus(),
             isServed: sharedRecords.isServed(),
--- a/tests/ingress/gossip.test.ts
+++ b/tests/ingress/gossip.test.ts
@@ -31,6 +31,8 @@
     isServed: true,
     hasRead: false,
     leaving: {},
+    demand: {},
+    work: {},
     statedLimits: {},
     crashEvidence: undefined,
     ...fields,
--- a/tests/ingress/ingressDecisions.test.ts
+++ b/tests/ingress/ingressDecisions.test.ts
@@ -63,6 +63,7 @@
         apiKey,
         promptTokens: 0,
         maximumAnswerTokens: 0,
+        expectedAnswerTokens: undefined,
         promptParts: [],
         lastEventId: undefined,
     });
@@ -169,6 +170,8 @@
         isServed: true,
         hasRead: false,
         leaving: {},
+        demand: {},
+        work: {},
         statedLimits: {},
         crashEvidence: undefined,
         ...fields,
--- a/tests/ingress/streamOverload.test.ts
+++ b/tests/ingress/streamOverload.test.ts
@@ -107,7 +107,7 @@
         // Without admission control a stream goes to the least loaded rank, above the group's limit too.
         const taken = isLimited ? await admission.enter(context) : undefined;
         const reservation = taken === undefined
-            ? scheduler.reserve("model", new Set(), "admitted")
+            ? scheduler.reserve("model", new Set(), { admissionClass: "admitted" })
             : taken.unwrapOr(undefined);
         if (reservation === undefined) {
             outcome.refused += 1;
--- a/tests/ingress/streamPlacing.test.ts
+++ b/tests/ingress/streamPlacing.test.ts
@@ -87,7 +87,7 @@
         });
         for (let due = startsPerMillisecond; random() < due; due -= 1) {
             const scheduler = schedulers[Math.floor(random() * entries)]!;
-            const reservation = scheduler.reserve("model", new Set(), "new");
+            const reservation = scheduler.reserve("model", new Set(), { admissionClass: "new" });
             if (reservation === undefined) {
                 continue;
             }
--- a/tests/support/entryFleet.ts
+++ b/tests/support/entryFleet.ts
@@ -160,6 +160,8 @@
                 isServed: true,
                 hasRead: false,
                 leaving: {},
+                demand: {},
+                work: {},
                 statedLimits: {},
                 crashEvidence: table.evidenceToGossip(),
             }),
@@ -236,6 +238,7 @@
                     apiKey: undefined,
                     promptTokens: 800,
                     maximumAnswerTokens: 80,
+                    expectedAnswerTokens: undefined,
                     promptParts: parts,
                     lastEventId: undefined,
                 };
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -183,6 +183,7 @@
                 retryRatio: 0.2,
                 retrySlack: 400,
                 retryWindowSeconds: 10,
+                platformContracts: [],
             },
             {
                 headerAdapter: platformHeaderAdapter,
@@ -192,6 +193,7 @@
                 createCrashEvidenceStore: (source: RecordSource) => createCrashEvidenceStore(storeClient, source),
                 engines: platformEngines,
                 readinessPath: paths.readiness,
+                conditions: { hasSlowReaders: false },
             },
             logger,
             lifetime.signal,
--- a/tests/support/recordFleet.ts
+++ b/tests/support/recordFleet.ts
@@ -283,6 +283,8 @@
                 isServed: shared.isServed(),
                 hasRead: shared.hasRead(),
                 leaving: state.leavingToGossip(),
+                demand: {},
+                work: {},
                 statedLimits: {},
                 crashEvidence: undefined,
             }),
