Let streams on their second attempt wait for a stalled group to recover

While a zone is cut off or a rank is dead its group serves nothing for 5 to 8 s. A stream on its second attempt now waits as long as its caller accepts, and is served late. Not measured yet.

--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -14,6 +14,7 @@
 import type { ErrorCode } from "../../state/errors.js";
 import type { Priority } from "../../state/types.js";
 import { createFairQueue, type FairQueue } from "../fairQueue.js";
+import type { RecoveryWait } from "./recoveryWait.js";
 import type { RequestContext, RequestDependencies } from "./requestContext.js";
 import { suspectTraits } from "./requestTraits.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
@@ -57,7 +58,8 @@
 
 export const createStreamAdmission = (
     scheduler: StreamScheduler,
-    { clock, random, crashEvidence, upstreamLimits }: RequestDependencies,
+    { clock, random, crashEvidence, upstreamLimits, log, metrics }: RequestDependencies,
+    recoveryWait?: RecoveryWait,
 ): StreamAdmission => {
     const queues = new Map<string, FairQueue>();
     const noneExcluded: ReadonlySet<string> = new Set();
@@ -148,6 +150,20 @@
         })).andThen(started => started);
     };
 
+    /** Whether the stream may go on, now that a group runs again. */
+    const waitForRecovery = async (context: RequestContext): Promise<boolean> => {
+        if (recoveryWait === undefined || !scheduler.isRecovering(context.service)) {
+            return false;
+        }
+        const hasRecovered = await recoveryWait.untilRecovered(context);
+        metrics.count(`ingress_recovery_waits_total{recovered="${hasRecovered}"}`);
+        log.request(context.envelope.requestId, "waited for a group to recover", {
+            hasRecovered,
+            afterMilliseconds: Math.round(clock.now() - context.arrivedAt),
+        });
+        return hasRecovered && scheduler.hasUpstream(context.service, noneExcluded);
+    };
+
     return {
         enter: async context => {
             const { service, signal } = context;
@@ -155,7 +171,7 @@
             if (hold !== undefined) {
                 return err(heldBack(hold));
             }
-            if (!scheduler.hasUpstream(service, noneExcluded)) {
+            if (!scheduler.hasUpstream(service, noneExcluded) && !await waitForRecovery(context)) {
                 return err(noUpstream(service));
             }
             for (let denied = 0;; denied += 1) {
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -54,6 +54,8 @@
     groups: () => { group: string; limit: number; running: number; overall: number; }[];
     /** Whether any upstream of the service, not in `excluded`, is in a running group. */
     hasUpstream: (service: string, excluded: ReadonlySet<string>) => boolean;
+    /** Whether the service has usable upstreams, all of them in groups that are stalled. */
+    isRecovering: (service: string) => boolean;
     /** Time until the first upstream takes work again, if all usable ones have asked for a pause; else undefined. */
     pauseMilliseconds: (service: string) => number | undefined;
     /** How far the limits on requests leave a choice of the usable upstreams that are not in `excluded`. */
@@ -255,6 +257,10 @@
             })),
         pauseMilliseconds: service => pauses.millisecondsUntilFirst(state.usable(service)),
         limitState: (service, excluded) => limitStateOf(candidates(service, excluded), upstreamLimits),
+        isRecovering: service => {
+            const usable = state.usable(service);
+            return usable.length > 0 && usable.every(({ group }) => group !== undefined && !isRunning(group));
+        },
         hasUpstream: (service, excluded) => candidates(service, excluded).length > 0,
         hasRunningGroup: () =>
             stallDetectors.size === 0 || [...stallDetectors.values()].some(stallDetector => stallDetector.isRunning()),
--- a/src/protocol/ingressConfig.ts
+++ b/src/protocol/ingressConfig.ts
@@ -35,6 +35,8 @@
     memoryMegabytes: z.number().positive().optional(),
     /** The platform's own names of the conditions in force; read by the platform's adapter only. */
     platformContracts: z.array(z.string()).default([]),
+    /** Lets streams on their second attempt wait for a stalled group to recover, instead of refusing them at once. */
+    waitForRecovery: z.boolean().default(false),
     /** Places requests by their expected cost at services where costs vary enough. */
     costRouting: z.object({
         /** Least coefficient of variation of the answers' lengths of a service. */
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -13,6 +13,7 @@
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
 import { createPeerStatusTable } from "../../coordination/ingress/peerStatusTable.js";
 import { createRecordPeers } from "../../coordination/ingress/recordPeers.js";
+import { createRecoveryWait } from "../../coordination/ingress/recoveryWait.js";
 import type { RequestContext, RequestDependencies } from "../../coordination/ingress/requestContext.js";
 import { requestTraits, suspectTraits } from "../../coordination/ingress/requestTraits.js";
 import { createResponseTimes } from "../../coordination/ingress/responseTimes.js";
@@ -186,7 +187,10 @@
         runningOnOtherEntries: peerStatuses.runningOn,
         random: Math.random,
     });
-    const admission = createStreamAdmission(streamScheduler, dependencies);
+    const recoveryWait = config.waitForRecovery
+        ? createRecoveryWait({ clock, random: Math.random, isRecovering: streamScheduler.isRecovering })
+        : undefined;
+    const admission = createStreamAdmission(streamScheduler, dependencies, recoveryWait);
     const runStream = createStreamTask(streamScheduler, admission, dependencies);
     const runUnary = createUnaryTask(unaryScheduler, responseTimes, dependencies);
     const incarnation = randomUUID();
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -184,6 +184,7 @@
                 retrySlack: 400,
                 retryWindowSeconds: 10,
                 platformContracts: [],
+                waitForRecovery: false,
             },
             {
                 headerAdapter: platformHeaderAdapter,
