Rank streams by account and route where routes of a service differ in priority

The account's priority now decides first and the route's among equals, as a rank for each service; services whose streaming routes don't differ have none and are served as before. Tested on the route table; nothing uses the rank yet.

--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -34,6 +34,8 @@
     service: string;
     clientAccount: string | undefined;
     priority: number;
+    /** Rank among the streams of its service, 0 for the most urgent; undefined if their routes don't differ in priority. */
+    urgency: number | undefined;
     arrivedAt: number;
     /** When the caller stops waiting, on the monotonic clock. */
     callerDeadlineAt: number;
--- a/src/coordination/ingress/routeTable.ts
+++ b/src/coordination/ingress/routeTable.ts
@@ -7,6 +7,37 @@
     configuration: IngressConfiguration;
     findRoute: (host: string, path: string) => IngressRoute | undefined;
     findAccount: (apiKey: string) => IngressAccount | undefined;
+    /**
+     * Rank of a stream among those of its service, 0 for the most urgent; undefined if the service's streaming routes
+     * don't differ in priority. The account's priority decides first, then the route's.
+     */
+    urgencyOf: (service: string, route: IngressRoute, account: IngressAccount | undefined) => number | undefined;
+};
+
+const ascending = (values: Set<number>): number[] => [...values].sort((left, right) => left - right);
+
+type Priorities = {
+    /** Distinct priorities of the routes, highest first. */
+    routes: number[];
+    /** Distinct priorities of accounts, highest first. */
+    accounts: number[];
+};
+
+/** For each service whose streaming routes differ in priority. */
+const prioritiesByService = ({ routes, accounts }: IngressConfiguration): Map<string, Priorities> => {
+    const routePriorities = new Map<string, Set<number>>();
+    for (const { services, priority } of routes.filter(({ kind }) => kind === "streaming")) {
+        for (const { service } of services) {
+            routePriorities.set(service, (routePriorities.get(service) ?? new Set()).add(priority));
+        }
+    }
+    return new Map(
+        [...routePriorities].filter(([, distinct]) => distinct.size > 1).map(([service, distinct]) => [service, {
+            routes: ascending(distinct),
+            // A route's own priority counts for callers without an account and for accounts without a priority.
+            accounts: ascending(new Set([...distinct, ...accounts.flatMap(({ priority }) => priority ?? [])])),
+        }]),
+    );
 };
 
 export const compileRouteTable = (configuration: IngressConfiguration): RouteTable => {
@@ -35,10 +66,19 @@
         return undefined;
     };
 
+    const priorities = prioritiesByService(configuration);
+
     return {
         configuration,
         findRoute,
         findAccount: apiKey => accounts.get(apiKey),
+        urgencyOf: (service, route, account) => {
+            const distinct = priorities.get(service);
+            return distinct === undefined
+                ? undefined
+                : distinct.accounts.indexOf(account?.priority ?? route.priority) * distinct.routes.length
+                    + distinct.routes.indexOf(route.priority);
+        },
     };
 };
 
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -286,6 +286,7 @@
             service,
             clientAccount: account?.name,
             priority,
+            urgency: table.urgencyOf(service, route, account),
             arrivedAt,
             callerDeadlineAt: arrivedAt + patienceMilliseconds,
             responseDueAt,
--- a/tests/ingress/ingressDecisions.test.ts
+++ b/tests/ingress/ingressDecisions.test.ts
@@ -68,6 +68,21 @@
         lastEventId: undefined,
     });
 
+    it("ranks streams by the account's priority and then by the route's, only where the routes of a service differ", () => {
+        const services = [{ service: "model", weight: 1 }];
+        const streaming = (path: string, priority: number, service = "model") =>
+            route(path, { kind: "streaming", priority, services: [{ ...services[0]!, service }] });
+        const routes = [streaming("/first/", 0), streaming("/last/", 2), streaming("/alone/", 1, "other")];
+        const [first, last, alone] = routes;
+        const accounts = [1, 0, undefined].map(priority => ({ name: "account", keys: [], priority }));
+        const ranked = compileRouteTable({ ...table.configuration, routes, accounts });
+        const rank = (served: typeof first, priority: number | undefined) =>
+            ranked.urgencyOf("model", served!, { name: "account", keys: [], priority })!;
+        expect([rank(first, 0), rank(last, 0), rank(first, 1), rank(last, 1)]).to.deep.equal([0, 1, 2, 3]);
+        expect(rank(first, undefined)).to.equal(rank(first, 0));
+        expect(ranked.urgencyOf("other", alone!, accounts[0])).to.equal(undefined);
+    });
+
     it("selects the route with the longest matching path prefix", () => {
         const found = (path: string) => table.findRoute("portal.example", path)?.pathPrefix;
         expect(["/a/b/c", "/a/bc", "/ab", "/a/b/"].map(found)).to.deep.equal(["/a/b/", "/a/", "/", "/a/b/"]);
--- a/tests/support/entryFleet.ts
+++ b/tests/support/entryFleet.ts
@@ -262,6 +262,7 @@
                     service: "model",
                     clientAccount: account,
                     priority: 1,
+                    urgency: undefined,
                     arrivedAt,
                     callerDeadlineAt: arrivedAt + 8_000,
                     responseDueAt: arrivedAt + 8_000,
