Bundle only undici's agent, pool and request API

The deployed programs use undici's Pool and single requests, but its main file also loads fetch, web sockets, caches, proxies and mocks.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -16,30 +16,35 @@
 const { values: { out } } = parseArgs({ options: { out: { type: "string", default: "target" } } });
 
 /**
- * Packages whose main file is a UMD wrapper: it passes `require` to a factory function, where esbuild can't follow the
- * calls. Their ES modules are bundled instead.
+ * What the sources get for a package instead of its main file. A program of the deployment that imports something else of
+ * it fails to build.
  */
-const umdPackages = { "jsonc-parser": "lib/esm/main.js", "ts-results": "esm/index.js" };
+const narrowedPackages = {
+    // The main files of these two are UMD wrappers: they pass `require` to a factory function, where esbuild can't follow
+    // the calls. Node.js gives importers the exports of such a module also as the default export.
+    "jsonc-parser": `export * from "jsonc-parser/lib/esm/main.js";`,
+    "ts-results": `import * as all from "ts-results/esm/index.js"; export default all;`,
+    // The main file also loads fetch, web sockets, caches, proxies and mocks. It adds the API to the prototype too.
+    "undici": `
+        import api from "undici/lib/api/index.js";
+        import Dispatcher from "undici/lib/dispatcher/dispatcher.js";
+        Object.assign(Dispatcher.prototype, api);
+        export { default as Agent } from "undici/lib/dispatcher/agent.js";
+        export { default as Pool } from "undici/lib/dispatcher/pool.js";`,
+};
 
-/**
- * Replaces each UMD package by its ES module. Node.js gives importers the exports of a CommonJS module also as the
- * default export, which the sources use for ts-results.
- */
-const resolveUmdPackages = {
-    name: "resolve-umd-packages",
+const narrowPackages = {
+    name: "narrow-packages",
     setup: ({ onResolve, onLoad }) => {
-        onResolve({ filter: new RegExp(`^(${Object.keys(umdPackages).join("|")})$`) }, ({ path, resolveDir }) => ({
+        onResolve({ filter: new RegExp(`^(${Object.keys(narrowedPackages).join("|")})$`) }, ({ path, resolveDir }) => ({
             path,
-            namespace: "umd",
+            namespace: "narrowed",
             pluginData: { resolveDir },
         }));
-        onLoad({ filter: /./, namespace: "umd" }, ({ path, pluginData: { resolveDir } }) => {
-            const file = JSON.stringify(`${path}/${umdPackages[path]}`);
-            return {
-                contents: `import * as all from ${file}; export * from ${file}; export default all;`,
-                resolveDir,
-            };
-        });
+        onLoad({ filter: /./, namespace: "narrowed" }, ({ path, pluginData: { resolveDir } }) => ({
+            contents: narrowedPackages[path],
+            resolveDir,
+        }));
     },
 };
 
@@ -60,7 +65,7 @@
         js: `import { createRequire as createBundleRequire } from "node:module";
 const require = createBundleRequire(import.meta.url);`,
     },
-    plugins: [resolveUmdPackages],
+    plugins: [narrowPackages],
     // Shorter text loads faster. Identifiers and function names stay, and lines are kept short, so that stack traces can
     // be read, and the line that Node.js prints for an uncaught error too.
     minifyWhitespace: true,
