Bundle hdr-histogram-js without WebAssembly and encodings

The metrics only build histograms in JavaScript, but the package's main file also loads the WebAssembly variant, which is decoded from base64, log readers and the encodings with pako. The bundle takes the builder alone, with a stub that states that WebAssembly is unavailable.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,6 +24,10 @@
     // the calls. Node.js gives importers the exports of such a module also as the default export.
     "jsonc-parser": `export * from "jsonc-parser/lib/esm/main.js";`,
     "ts-results": `import * as all from "ts-results/esm/index.js"; export default all;`,
+    // The main file also loads the WebAssembly histogram, log files and the encodings, which need pako.
+    "hdr-histogram-js": `
+        export { build } from "hdr-histogram-js/dist/HistogramBuilder.js";`,
+    "hdr-histogram-js/wasm": `export const webAssemblyAvailable = false;`,
     // The main file also loads fetch, web sockets, caches, proxies and mocks. It adds the API to the prototype too.
     "undici": `
         import api from "undici/lib/api/index.js";
@@ -41,6 +45,14 @@
             namespace: "narrowed",
             pluginData: { resolveDir },
         }));
+        // The histogram builder refers to it, but uses it only on request.
+        onResolve(
+            { filter: /^\.\/wasm$/ },
+            ({ importer }) =>
+                importer.endsWith("HistogramBuilder.js")
+                    ? { path: "hdr-histogram-js/wasm", namespace: "narrowed", pluginData: {} }
+                    : undefined,
+        );
         onLoad({ filter: /./, namespace: "narrowed" }, ({ path, pluginData: { resolveDir } }) => ({
             contents: narrowedPackages[path],
             resolveDir,
