Drop zod's locales and unused parts from the bundles

The sources import zod's object `z`, which esbuild keeps whole with some 300 KB of locales, JSON schema conversion and schema compilation. The bundle script imports the same namespace with a star import instead, so that esbuild drops what is unused. The problems reported for an invalid settings file are the same text as without a bundle (compared for ten fields).

Measured at a start without a settings file, median of 9: maximum resident memory of the ingress 59.6 MB before, 57.5 MB after; of the rank agent 59.0 MB before, 57.0 MB after. The bundle of the ingress shrinks from 1.67 to 1.21 MB. Processor time 0.37 to 0.46 s, not to be told apart from before on a machine shared with other work.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,7 +7,7 @@
  * written beside each module for reading stack traces by hand; the modules don't refer to it, so Node.js never loads it.
  */
 import { build } from "esbuild";
-import { mkdir, writeFile } from "node:fs/promises";
+import { mkdir, readFile, writeFile } from "node:fs/promises";
 import { isBuiltin } from "node:module";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -60,6 +60,20 @@
     },
 };
 
+/**
+ * Imports zod as a namespace, from which esbuild drops what isn't used: the locales, JSON schemas and compilation. The
+ * object that zod exports as `z` is the same namespace, but esbuild keeps it whole.
+ */
+const importZodAsNamespace = {
+    name: "import-zod-as-namespace",
+    setup: ({ onLoad }) => {
+        onLoad({ filter: /[\\/](src|platform)[\\/].*\.ts$/ }, async ({ path }) => ({
+            contents: (await readFile(path, "utf8")).replace(`import { z } from "zod";`, `import * as z from "zod";`),
+            loader: "ts",
+        }));
+    },
+};
+
 /** A call that esbuild left as it was, of `require` itself or of a renamed parameter such as `require2`. */
 const relativeRequire = /\b_*require\d*\(\s*["'`]\.{0,2}\/[^"'`]*["'`]/gi;
 
@@ -77,7 +91,7 @@
         js: `import { createRequire as createBundleRequire } from "node:module";
 const require = createBundleRequire(import.meta.url);`,
     },
-    plugins: [narrowPackages],
+    plugins: [narrowPackages, importZodAsNamespace],
     // Shorter text loads faster. Identifiers and function names stay, and lines are kept short, so that stack traces can
     // be read, and the line that Node.js prints for an uncaught error too.
     minifyWhitespace: true,
