Load hono and tRPC's server on the first request of a peer

Importing hono's adapter makes Node.js load its classes of fetch, some 10 MB and a tenth of a second, in each daemon, although only the listeners for other daemons need them.

--- a/src/transport/experts/mapRelay.ts
+++ b/src/transport/experts/mapRelay.ts
@@ -3,8 +3,6 @@
  * datagrams.
  */
 import { createTRPCClient, httpLink } from "@trpc/client";
-import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
-import { Hono } from "hono";
 import { err } from "neverthrow";
 import type { RelayPrepare } from "../../coordination/experts/relayedMaps.js";
 import {
@@ -17,24 +15,29 @@
 } from "../../protocol/mapRelayRouter.js";
 import { reasonOf } from "../../state/errors.js";
 import { splitAddress } from "../address.js";
-import { listen, type Listener, type NodeBindings } from "../httpServer.js";
+import { type Listener, listenLazily, type NodeBindings } from "../httpServer.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 
 /** A map for each of a hundred ranks takes most of a second on the link of one machine. */
 const answerTimeoutMilliseconds = 2_500;
 
 /** Serves the agents that coordinate on `address` (`ip:port`). */
-export const serveMapRelay = (address: string, context: MapRelayContext): Promise<Listener> => {
-    const application = new Hono<NodeBindings>();
-    application.all(`${mapRelayEndpoint}/*`, ({ req }) =>
-        fetchRequestHandler({
-            endpoint: mapRelayEndpoint,
-            req: req.raw,
-            router: mapRelayRouter,
-            createContext: () => context,
-        }));
-    return listen(application, address);
-};
+export const serveMapRelay = (address: string, context: MapRelayContext): Promise<Listener> =>
+    listenLazily(async () => {
+        const [{ Hono }, { fetchRequestHandler }] = await Promise.all([
+            import("hono"),
+            import("@trpc/server/adapters/fetch"),
+        ]);
+        const application = new Hono<NodeBindings>();
+        application.all(`${mapRelayEndpoint}/*`, ({ req }) =>
+            fetchRequestHandler({
+                endpoint: mapRelayEndpoint,
+                req: req.raw,
+                router: mapRelayRouter,
+                createContext: () => context,
+            }));
+        return application;
+    }, address);
 
 const createClient = (address: string) =>
     createTRPCClient<MapRelayRouter>({ links: [httpLink({ url: `http://${address}${mapRelayEndpoint}` })] });
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -5,9 +5,9 @@
  * closes gracefully: it accepts no new connections, waits for the requests in progress, and then closes their
  * connections, which polling clients would otherwise keep alive indefinitely.
  */
-import { createAdaptorServer, type HttpBindings } from "@hono/node-server";
+import type { HttpBindings } from "@hono/node-server";
 import type { Hono } from "hono";
-import type { Server, ServerResponse } from "node:http";
+import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { errorBody } from "../protocol/callerProtocol.js";
 import { type ErrorCode, refusal } from "../state/errors.js";
@@ -69,18 +69,47 @@
     application: Hono<Environment>,
     address: string,
     limits: RequestLimits = defaultRequestLimits,
+): Promise<Listener> => {
+    const { getRequestListener } = await import("@hono/node-server");
+    return listenWith(getRequestListener(application.fetch), address, limits);
+};
+
+/**
+ * Listens with an application that is loaded on the first request. A daemon that gets none doesn't spend the 10 MB and
+ * 0.1 s of processor time that Node.js needs for the classes of fetch, which hono's adapter refers to.
+ */
+export const listenLazily = (
+    loadApplication: () => Promise<Hono<NodeBindings>>,
+    address: string,
+): Promise<Listener> => {
+    let listener: Promise<RequestListener> | undefined;
+    const load = async (): Promise<RequestListener> => {
+        const [{ getRequestListener }, application] = await Promise.all([
+            import("@hono/node-server"),
+            loadApplication(),
+        ]);
+        return getRequestListener(application.fetch);
+    };
+    return listenWith((request, response) => {
+        listener ??= load();
+        void listener.then(serve => serve(request, response));
+    }, address);
+};
+
+/** Listens with a plain handler of Node.js. */
+export const listenWith = async (
+    handler: RequestListener,
+    address: string,
+    limits: RequestLimits = defaultRequestLimits,
 ): Promise<Listener> => {
     const { host, port } = splitAddress(address);
-    const server = createAdaptorServer({
-        fetch: application.fetch,
-        serverOptions: {
-            maxHeaderSize: limits.headerBytes,
-            headersTimeout: limits.headersTimeoutMilliseconds,
-            requestTimeout: limits.requestTimeoutMilliseconds,
-            keepAliveTimeout: keepAliveTimeoutMilliseconds,
-            connectionsCheckingInterval: limits.checkIntervalMilliseconds,
-        },
-    }) as Server;
+    const server = createServer({
+        maxHeaderSize: limits.headerBytes,
+        headersTimeout: limits.headersTimeoutMilliseconds,
+        requestTimeout: limits.requestTimeoutMilliseconds,
+        keepAliveTimeout: keepAliveTimeoutMilliseconds,
+        connectionsCheckingInterval: limits.checkIntervalMilliseconds,
+    }, handler);
     server.on("clientError", sendClientError);
     const sockets = new Set<Socket>();
     server.on("connection", (socket: Socket) => {
--- a/src/transport/ingress/peerServer.ts
+++ b/src/transport/ingress/peerServer.ts
@@ -2,14 +2,13 @@
  * The listener of an entry for the other entries: records that it has read, and permits for requests to upstreams that
  * state a limit.
  */
-import { fetchRequestHandler } from "@trpc/server/adapters/fetch";
-import { Hono } from "hono";
+import type { Hono } from "hono";
 import { setMaxListeners } from "node:events";
 import type { RecordSource } from "../../coordination/ingress/recordSource.js";
 import type { UpstreamLimits } from "../../coordination/ingress/upstreamLimits.js";
 import { recordRelayEndpoint, recordRelayRouter } from "../../protocol/recordRelayRouter.js";
 import { requestPermitEndpoint, requestPermitRouter } from "../../protocol/requestPermitRouter.js";
-import { listen, type Listener, type NodeBindings } from "../httpServer.js";
+import { type Listener, listenLazily, type NodeBindings } from "../httpServer.js";
 
 export type PeerServices = { records: RecordSource; upstreamLimits: Pick<UpstreamLimits, "answer">; };
 
@@ -26,32 +25,39 @@
     setMaxListeners(0, closing.signal);
     const endReads = (): void => closing.abort();
     signal.addEventListener("abort", endReads, { once: true });
-    const application = new Hono<NodeBindings>();
-    application.all(`${recordRelayEndpoint}/*`, async ({ req }) => {
-        const reading = new AbortController();
-        const stop = (): void => reading.abort();
-        closing.signal.addEventListener("abort", stop, { once: true });
-        if (closing.signal.aborted) {
-            stop();
-        }
-        req.raw.signal.addEventListener("abort", stop, { once: true });
-        const response = await fetchRequestHandler({
-            endpoint: recordRelayEndpoint,
-            req: req.raw,
-            router: recordRelayRouter,
-            createContext: () => ({ records, signal: reading.signal }),
+    const loadApplication = async (): Promise<Hono<NodeBindings>> => {
+        const [{ Hono }, { fetchRequestHandler }] = await Promise.all([
+            import("hono"),
+            import("@trpc/server/adapters/fetch"),
+        ]);
+        const application = new Hono<NodeBindings>();
+        application.all(`${recordRelayEndpoint}/*`, async ({ req }) => {
+            const reading = new AbortController();
+            const stop = (): void => reading.abort();
+            closing.signal.addEventListener("abort", stop, { once: true });
+            if (closing.signal.aborted) {
+                stop();
+            }
+            req.raw.signal.addEventListener("abort", stop, { once: true });
+            const response = await fetchRequestHandler({
+                endpoint: recordRelayEndpoint,
+                req: req.raw,
+                router: recordRelayRouter,
+                createContext: () => ({ records, signal: reading.signal }),
+            });
+            closing.signal.removeEventListener("abort", stop);
+            return response;
         });
-        closing.signal.removeEventListener("abort", stop);
-        return response;
-    });
-    application.all(`${requestPermitEndpoint}/*`, ({ req }) =>
-        fetchRequestHandler({
-            endpoint: requestPermitEndpoint,
-            req: req.raw,
-            router: requestPermitRouter,
-            createContext: () => ({ answer: upstreamLimits.answer }),
-        }));
-    const listener = await listen(application, address);
+        application.all(`${requestPermitEndpoint}/*`, ({ req }) =>
+            fetchRequestHandler({
+                endpoint: requestPermitEndpoint,
+                req: req.raw,
+                router: requestPermitRouter,
+                createContext: () => ({ answer: upstreamLimits.answer }),
+            }));
+        return application;
+    };
+    const listener = await listenLazily(loadApplication, address);
     return {
         address: listener.address,
         close: () => {
