--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -22,11 +22,16 @@
 
 const runningChildren = new Set<ChildProcess>();
 
-export const startProgram = (name: string, parameters: string[]): Program => {
-    const child = spawn(process.execPath, [`dist/src/programs/${name}.js`, ...parameters], {
-        env: { ...process.env, ...testTokens },
-        stdio: ["ignore", "pipe", "pipe"],
-    });
+export const startProgram = (name: string, parameters: string[]): Program =>
+    startNode(name, [`dist/src/programs/${name}.js`, ...parameters], { env: { ...process.env, ...testTokens } });
+
+/** Runs `node` with these arguments; `name` stands in error messages. */
+export const startNode = (
+    name: string,
+    parameters: string[],
+    options: { env: NodeJS.ProcessEnv; cwd?: string; },
+): Program => {
+    const child = spawn(process.execPath, parameters, { ...options, stdio: ["ignore", "pipe", "pipe"] });
     runningChildren.add(child);
     const events: ProgramEvent[] = [];
     const waiters = new Set<(event: ProgramEvent) => void>();
