Leave Node.js's HTTP/2 module out of the bundles

undici and hono's adapter import node:http2 for connections that the two programs never open: they speak HTTP/1.1 only. The bundle replaces it by empty constants, as undici itself does where Node.js lacks the module, and a class that no request is an instance of. A processor profile of a start without a settings file showed 28 ms for loading it.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -28,6 +28,9 @@
     "hdr-histogram-js": `
         export { build } from "hdr-histogram-js/dist/HistogramBuilder.js";`,
     "hdr-histogram-js/wasm": `export const webAssemblyAvailable = false;`,
+    // The programs speak HTTP/1.1 only; undici allows for a Node.js without HTTP/2, and hono's adapter compares classes.
+    "http2": `export const constants = {}; export class Http2ServerRequest {}`,
+    "node:http2": `export const constants = {}; export class Http2ServerRequest {}`,
     // The main file also loads fetch, web sockets, caches, proxies and mocks. It adds the API to the prototype too.
     "undici": `
         import api from "undici/lib/api/index.js";
