Bundle only the parts of winston that the logger uses

The logger combines two formats and writes to the console, but winston's main file also loads the formats' colours, and @dabh/diagnostics the developers' variant with a colour library, as a deployment can't set NODE_ENV. The bundle takes the logger, the console transport and the two formats from the deeper files; log lines of a start have the same fields.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -28,6 +28,16 @@
     "hdr-histogram-js": `
         export { build } from "hdr-histogram-js/dist/HistogramBuilder.js";`,
     "hdr-histogram-js/wasm": `export const webAssemblyAvailable = false;`,
+    // The main file also loads transports, formats with colours and the container of loggers.
+    "winston": `
+        import createLogger from "winston/lib/winston/create-logger.js";
+        import Console from "winston/lib/winston/transports/console.js";
+        import combine from "logform/combine.js";
+        import json from "logform/json.js";
+        import timestamp from "logform/timestamp.js";
+        export default { createLogger, format: { combine, json, timestamp }, transports: { Console } };`,
+    // Without NODE_ENV=production, which a deployment can't set, the main file loads the diagnostics of developers.
+    "@dabh/diagnostics": `module.exports = require("@dabh/diagnostics/node/production.js");`,
     // The programs speak HTTP/1.1 only; undici allows for a Node.js without HTTP/2, and hono's adapter compares classes.
     "http2": `export const constants = {}; export class Http2ServerRequest {}`,
     "node:http2": `export const constants = {}; export class Http2ServerRequest {}`,
