Bound what an entry holds for slow callers and servers

An entry read its servers regardless of how fast callers read, and each caller could leave 4 MiB unread. Where the platform states slow readers, a budget derived from memoryMegabytes now counts bodies, answers and events; servers are read only as fast as their callers, the slowest readers are ended first, and new requests are refused with buffers-full. The condition itself has no test yet.

--- a/src/coordination/ingress/explanation.ts
+++ b/src/coordination/ingress/explanation.ts
@@ -34,6 +34,14 @@
         "no group had capacity within the share of the latency objective that may be spent queueing",
     ],
     "queue-full": ["load", "the queue was full: more streams were waiting than could start in time"],
+    "buffers-full": [
+        "load",
+        "the entry held almost as many bytes for slow callers and servers as its memory allows, so it took no request",
+    ],
+    "slow-reader": [
+        "caller-gone",
+        "its caller read too slowly, and the entry closed the connection to free memory or as the answer was overdue",
+    ],
     "upstreams-limited": [
         "load",
         "every usable upstream was at the limit on requests that it states, see the limited ones",
@@ -100,6 +108,8 @@
     "dependency regained",
     "store read failed",
     "log lines dropped",
+    "buffers nearly spent",
+    "buffers relieved",
 ]);
 const groupEvents = new Set(["group stalled", "group recovered", "group formed", "expert map", "hold resolved"]);
 
--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../../state/types.js";
 import type { Metrics } from "../metrics.js";
 import type { RetryBudget } from "../retryBudget.js";
+import type { HeldBytes } from "./bufferBudget.js";
 import type { CrashEvidenceTable } from "./crashEvidenceTable.js";
 import type { CrashObserver } from "./crashObserver.js";
 import type { IngressLog } from "./ingressLog.js";
@@ -19,6 +20,13 @@
 export type ResponseSink = {
     start: (status: number, headers: string[]) => void;
     write: (bytes: Buffer) => void;
+    /**
+     * Resolves when the caller has read enough for more to be written, and also when `signal` aborts or the caller is
+     * gone; undefined if more may be written at once. Absent if what is written isn't bounded this way.
+     */
+    whenWritable?: (signal: AbortSignal) => Promise<void> | undefined;
+    /** States when the answer is due; a caller that has stopped reading is disconnected some time after it. */
+    setDueAt?: (dueAt: number) => void;
     end: () => void;
     /** Sends an error response; valid only before `start`. */
     refuse: (refusal: Refusal) => void;
@@ -44,6 +52,8 @@
     responseDueAt: number;
     send: SendToUpstream;
     sink: ResponseSink;
+    /** Accounts for what is held for the request, without what was written to the sink; absent if not budgeted. */
+    held?: HeldBytes | undefined;
     /** Aborts when the caller disconnects or the response is overdue. */
     signal: AbortSignal;
     /** Aborts when the caller disconnects. */
@@ -92,10 +102,13 @@
         reason: string;
         isUnreachable: boolean;
         durationMilliseconds: number;
+        isOwnDoing?: boolean | undefined;
     },
 ): void => {
-    const { kind, reason, isUnreachable, durationMilliseconds } = failedAttempt;
-    health.recordFailure(upstreamId, isUnreachable, reason);
+    const { kind, reason, isUnreachable, durationMilliseconds, isOwnDoing } = failedAttempt;
+    if (isOwnDoing !== true) {
+        health.recordFailure(upstreamId, isUnreachable, reason);
+    }
     metrics.count(`ingress_sendings_lost_total{kind="${kind}"}`);
     log.request(requestId, "attempt failed", {
         upstream: upstreamId,
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -21,6 +21,8 @@
     upstream: KnownUpstream;
     /** Records an event, `pauseMilliseconds` after the previous one of the same attempt; undefined for the first. */
     recordEvent: (pauseMilliseconds: number | undefined, gapTargetMilliseconds: number) => void;
+    /** States whether the stream waits for its caller; its silence then says nothing about its group. */
+    setHeldBack: (isHeldBack: boolean) => void;
     /** Records that the attempt got no usable response. */
     recordFailure: (reason: string) => void;
     release: () => void;
@@ -208,6 +210,7 @@
         const { concurrencyLimit } = candidate;
         const stallDetector = stallDetectorOf(candidate.group);
         let hasStarted = false;
+        let isHeldBack = false;
         runningByUpstream.set(upstream.id, (runningByUpstream.get(upstream.id) ?? 0) + 1);
         concurrencyLimit.acquire();
         return {
@@ -222,10 +225,16 @@
                     concurrencyLimit.recordPause(pauseMilliseconds, gapTargetMilliseconds);
                 }
             },
+            setHeldBack: isHeldBackNow => {
+                if (hasStarted && isHeldBackNow !== isHeldBack) {
+                    isHeldBack = isHeldBackNow;
+                    (isHeldBack ? stallDetector.recordStreamEnd : stallDetector.recordStreamStart)();
+                }
+            },
             recordFailure: stallDetector.reportLoss,
             release: () => {
                 concurrencyLimit.release();
-                if (hasStarted) {
+                if (hasStarted && !isHeldBack) {
                     stallDetector.recordStreamEnd();
                 }
                 runningByUpstream.set(upstream.id, (runningByUpstream.get(upstream.id) ?? 1) - 1);
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -6,6 +6,7 @@
  * caller before the first event, so until then a failed attempt can still be replaced by a refusal or by another
  * upstream's response.
  */
+import { createCallerPace } from "./callerPace.js";
 import type { ObservedAttempt } from "./crashObserver.js";
 import { createEventSplitter, maximumEventBytes, type StreamEvent } from "./eventSplitter.js";
 import {
@@ -18,6 +19,7 @@
     type RequestDependencies,
 } from "./requestContext.js";
 import { suspectTraits } from "./requestTraits.js";
+import { createSilentStreamMove, resumeWindowMilliseconds } from "./silentStreamMove.js";
 import type { StreamAdmission } from "./streamAdmission.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
 import {
@@ -29,15 +31,6 @@
     type UpstreamResponse,
 } from "./upstreamAttempt.js";
 
-/**
- * Silence after which a stream is moved to another group if that has room; otherwise it is left where it is, as it may
- * only be slow. Callers disconnect after two seconds without an event.
- */
-const silenceUntilMove = { beforeFirstEventMilliseconds: 1_000, betweenEventsMilliseconds: 800 };
-const silenceCheckMilliseconds = 250;
-const moveRetryMilliseconds = 100;
-/** Counted from the last event; a stream resumed later would reach the caller after its two seconds are over. */
-const resumeWindowMilliseconds = 1_850;
 const reservationRetryMilliseconds = 40;
 const okStatus = 200;
 const serverErrorStatus = 500;
@@ -49,13 +42,15 @@
     | FailedAttempt;
 
 /** Progress of the caller's stream over all attempts. */
-type StreamProgress = {
+export type StreamProgress = {
     lastEventId: string | undefined;
     events: number;
     firstEventAt: number | undefined;
     lastEventAt: number | undefined;
     /** Includes pauses between two attempts, while the stream was resumed. */
     longestPauseMilliseconds: number;
+    /** Until when it was last held back for its caller; infinite while it is. */
+    heldBackUntil: number;
 };
 
 /** Whether the event follows the last one that the caller has received; ids are increasing integers. */
@@ -70,6 +65,7 @@
     const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits } = dependencies;
 
     const readFullBody = createBodyReader();
+    const moveWhenSilent = createSilentStreamMove(scheduler, dependencies);
 
     const relay = async (
         context: RequestContext,
@@ -77,11 +73,15 @@
         reservation: StreamReservation,
         observed: ObservedAttempt,
         progress: StreamProgress,
+        signal: AbortSignal,
     ): Promise<AttemptResult> => {
-        const { sink, route, arrivedAt } = context;
+        const { sink, route, arrivedAt, held } = context;
         const splitter = createEventSplitter();
+        const pace = createCallerPace(sink, reservation, progress, clock, signal);
         let eventsInAttempt = 0;
+        let heldPendingBytes = 0;
         for await (const chunk of response.body) {
+            pace.beginChunk();
             for (const event of splitter.push(chunk)) {
                 if (!isNewer(event, progress)) {
                     continue;
@@ -92,10 +92,12 @@
                     metrics.observe("ingress_first_event", now - arrivedAt);
                 }
                 sink.write(event.bytes);
-                const pauseMilliseconds = eventsInAttempt > 0 && progress.lastEventAt !== undefined
+                const pauseMilliseconds = eventsInAttempt > 0 && progress.lastEventAt !== undefined && !pace.isBehind()
                     ? now - progress.lastEventAt
                     : undefined;
-                reservation.recordEvent(pauseMilliseconds, route.gapTargetMilliseconds);
+                if (!pace.isBehind()) {
+                    reservation.recordEvent(pauseMilliseconds, route.gapTargetMilliseconds);
+                }
                 observed.recordEvent();
                 if (pauseMilliseconds !== undefined) {
                     metrics.observe("ingress_event_pause", pauseMilliseconds);
@@ -105,18 +107,30 @@
                 progress.firstEventAt ??= now;
                 progress.longestPauseMilliseconds = Math.max(
                     progress.longestPauseMilliseconds,
-                    now - (progress.lastEventAt ?? now),
+                    pace.isBehind() ? 0 : now - (progress.lastEventAt ?? now),
                 );
                 progress.lastEventAt = now;
                 progress.lastEventId = event.id ?? progress.lastEventId;
+                const callerHasRead = pace.waitForCaller();
+                if (callerHasRead !== undefined) {
+                    await callerHasRead;
+                }
             }
-            if (splitter.pendingBytes() > maximumEventBytes) {
+            pace.endChunk();
+            held?.add(splitter.pendingBytes() - heldPendingBytes);
+            heldPendingBytes = splitter.pendingBytes();
+            if (heldPendingBytes > maximumEventBytes) {
                 response.close();
                 return { kind: "broken", reason: `an event exceeds ${maximumEventBytes} bytes` };
             }
+            if (heldPendingBytes > 0 && held?.fits(0) === false) {
+                response.close();
+                return { kind: "broken", reason: "an event exceeds the memory left for answers", isOwnDoing: true };
+            }
         }
+        held?.add(-heldPendingBytes);
         if (!response.isComplete() || splitter.pendingBytes() > 0) {
-            return { kind: "broken", reason: "the event stream was cut off" };
+            return { kind: "broken", reason: "the event stream was cut off", isOwnDoing: pace.isBehind() };
         }
         if (!sink.hasStarted()) {
             sink.start(response.status, response.headers);
@@ -153,13 +167,16 @@
             return fault;
         }
         return response.status === okStatus
-            ? relay(context, response, reservation, observed, progress)
+            ? relay(context, response, reservation, observed, progress, signal)
             : { kind: "other", response };
     };
 
     /** Forwards the upstream's own response unchanged, once it has been read completely. */
-    const forwardResponse = async ({ sink }: RequestContext, response: UpstreamResponse): Promise<AttemptResult> => {
-        const chunks = await readFullBody(response);
+    const forwardResponse = async (
+        { sink, held }: RequestContext,
+        response: UpstreamResponse,
+    ): Promise<AttemptResult> => {
+        const chunks = await readFullBody(response, held);
         if (chunks === undefined) {
             return { kind: "broken", reason: "the response was cut off" };
         }
@@ -175,7 +192,8 @@
     const mayRetry = (context: RequestContext, attempts: AttemptHistory, result: AttemptResult): boolean => {
         const { route, signal } = context;
         if (
-            isHeldBack(context, attempts) || signal.aborted || attempts.reached.size >= route.attempts
+            isHeldBack(context, attempts) || signal.aborted || context.held?.wasExceeded() === true
+            || attempts.reached.size >= route.attempts
             || attempts.mayHaveRun && !route.isResumable
         ) {
             return false;
@@ -199,8 +217,9 @@
                 reason: result.reason,
                 isUnreachable: isUpstreamAbsent(result),
                 durationMilliseconds: clock.now() - sentAt,
+                isOwnDoing: result.isOwnDoing,
             });
-            if (result.kind !== "misdirected") {
+            if (result.kind !== "misdirected" && result.isOwnDoing !== true) {
                 reservation.recordFailure(result.reason);
             }
         }
@@ -212,7 +231,8 @@
         attempts: AttemptHistory,
         progress: StreamProgress,
     ): Promise<StreamReservation | undefined> => {
-        const resumeBy = (progress.lastEventAt ?? context.arrivedAt) + resumeWindowMilliseconds;
+        const resumeBy = Math.max(progress.lastEventAt ?? context.arrivedAt, progress.heldBackUntil)
+            + resumeWindowMilliseconds;
         for (;;) {
             const reservation = scheduler.reserve(context.service, attempts.excluded, { admissionClass: "admitted" });
             if (reservation !== undefined && isHeldBack(context, attempts)) {
@@ -234,49 +254,6 @@
         }
     };
 
-    /**
-     * Waits until the attempt ends or its stream has brought no complete event for too long while another group has room;
-     * returns the place there, after it has ended the attempt.
-     */
-    const moveWhenSilent = async (
-        { envelope, route }: RequestContext,
-        { upstream }: StreamReservation,
-        attempts: AttemptHistory,
-        progress: StreamProgress,
-        attemptEnd: AbortController,
-    ): Promise<StreamReservation | undefined> => {
-        const sentAt = clock.now();
-        const silence = (): number => clock.now() - Math.max(sentAt, progress.lastEventAt ?? sentAt);
-        const limit = (): number =>
-            progress.lastEventAt === undefined || progress.lastEventAt < sentAt
-                ? silenceUntilMove.beforeFirstEventMilliseconds
-                : silenceUntilMove.betweenEventsMilliseconds;
-        const mayMove = route.isResumable && attempts.reached.size + 1 < route.attempts;
-        while (mayMove && !attemptEnd.signal.aborted && silence() < resumeWindowMilliseconds) {
-            const remaining = limit() - silence();
-            if (remaining > 0) {
-                await clock.sleep(Math.min(remaining, silenceCheckMilliseconds), attemptEnd.signal);
-                continue;
-            }
-            const place = scheduler.reserveElsewhere(upstream, attempts.excluded);
-            const mayUse = place !== undefined && await upstreamLimits.take(place.upstream, attemptEnd.signal);
-            if (!mayUse || attemptEnd.signal.aborted || !retryBudget.takeRetry()) {
-                place?.release();
-                await clock.sleep(moveRetryMilliseconds, attemptEnd.signal);
-                continue;
-            }
-            log.request(envelope.requestId, "stream moved", {
-                from: upstream.id,
-                to: place.upstream.id,
-                silentFor: Math.round(silence()),
-                afterEvent: progress.lastEventId,
-            });
-            attemptEnd.abort();
-            return place;
-        }
-        return undefined;
-    };
-
     const finish = (context: RequestContext, progress: StreamProgress, attempts: AttemptHistory): void => {
         const durationMilliseconds = clock.now() - context.arrivedAt;
         context.sink.end();
@@ -300,6 +277,7 @@
             firstEventAt: undefined,
             lastEventAt: undefined,
             longestPauseMilliseconds: 0,
+            heldBackUntil: -Infinity,
         };
         retryBudget.recordRequest();
         const admitted = await admission.enter(context);
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -48,7 +48,7 @@
 
 const classifyResponse = async (
     response: UpstreamResponse,
-    requestId: string,
+    { envelope: { requestId }, held }: RequestContext,
     readFullBody: BodyReader,
 ): Promise<AttemptResult> => {
     const fault = findResponseFault(response, requestId);
@@ -56,9 +56,11 @@
         response.close();
         return fault;
     }
-    const body = await readFullBody(response);
+    const body = await readFullBody(response, held);
     if (body === undefined) {
-        return { kind: "broken", reason: "the response was cut off" };
+        return held?.wasExceeded() === true
+            ? { kind: "broken", reason: "the response exceeds the memory left for answers", isOwnDoing: true }
+            : { kind: "broken", reason: "the response was cut off" };
     }
     return { kind: response.status >= serverErrorStatus ? "failed" : "final", response, body };
 };
@@ -75,7 +77,6 @@
 
     const attempt = async (context: RequestContext, upstream: KnownUpstream): Promise<AttemptResult> => {
         const {
-            envelope,
             route,
             clientAccount,
             callerDeadlineAt,
@@ -103,7 +104,7 @@
         const responseOrFailure = await send(upstream, metadata, timeouts, signal);
         return responseOrFailure.isErr()
             ? responseOrFailure.error
-            : classifyResponse(responseOrFailure.value, envelope.requestId, readFullBody);
+            : classifyResponse(responseOrFailure.value, context, readFullBody);
     };
 
     const deliver = (
@@ -201,6 +202,7 @@
                     reason,
                     isUnreachable,
                     durationMilliseconds,
+                    isOwnDoing: result.kind !== "failed" && result.isOwnDoing,
                 };
                 recordFailedAttempt(dependencies, envelope.requestId, upstream.id, failedAttempt);
             }
@@ -208,7 +210,8 @@
             lastKind = result.kind === "failed" ? "broken" : result.kind;
             lastFailure = result.kind === "failed" ? { result, upstreamId: upstream.id } : lastFailure;
             attempts.mayHaveRun ||= result.kind === "broken" || result.kind === "failed";
-            if (attempts.mayHaveRun && route.kind !== "idempotent") {
+            // Another copy of an answer that exceeds the budget would exceed it again.
+            if (attempts.mayHaveRun && (route.kind !== "idempotent" || context.held?.wasExceeded() === true)) {
                 break;
             }
             if (crashEvidence.isNearHold(traits)) {
--- a/src/coordination/ingress/upstreamAttempt.ts
+++ b/src/coordination/ingress/upstreamAttempt.ts
@@ -7,6 +7,7 @@
  */
 import type { Result } from "neverthrow";
 import type { Upstream } from "../../state/ingressTypes.js";
+import type { HeldBytes } from "./bufferBudget.js";
 import type { ResponseMetadata, UpstreamRequestMetadata } from "./headerAdapter.js";
 
 /** `unreachable`: nothing was sent; `broken`: the request may have been executed, and no usable response arrived. */
@@ -20,6 +21,8 @@
      */
     kind: "unreachable" | "misdirected" | "not-run" | "broken";
     reason: string;
+    /** Whether this entry may have caused it, so that it says nothing about the upstream. */
+    isOwnDoing?: boolean;
 };
 
 export type UpstreamResponse = {
@@ -61,8 +64,11 @@
 /** Whether the failure shows that the upstream is not at its address. */
 export const isUpstreamAbsent = ({ kind }: FailedAttempt): boolean => kind === "unreachable" || kind === "misdirected";
 
-/** Reads complete bodies; undefined if a response was cut off or is too long. */
-export type BodyReader = (response: UpstreamResponse) => Promise<Buffer[] | undefined>;
+/**
+ * Reads complete bodies, and adds their bytes to `held`; undefined if a response was cut off, is too long or exceeds the
+ * budget of `held`.
+ */
+export type BodyReader = (response: UpstreamResponse, held?: HeldBytes) => Promise<Buffer[] | undefined>;
 
 const maximumBodyBytes = 16_777_216;
 /** Bounds the memory of an entry whose upstreams send bytes without end. */
@@ -71,20 +77,28 @@
 /** Creates a reader that bounds the bytes of each body, and those of all bodies that are being read at once. */
 export const createBodyReader = (): BodyReader => {
     let bytesAtOnce = 0;
-    return async response => {
+    return async (response, held) => {
         const chunks: Buffer[] = [];
         let length = 0;
+        let counted = 0;
         for await (const chunk of response.body) {
             length += chunk.length;
             bytesAtOnce += chunk.length;
-            if (length > maximumBodyBytes || bytesAtOnce > maximumBodyBytesAtOnce) {
+            const exceedsBudget = held?.fits(chunk.length) === false;
+            if (length > maximumBodyBytes || bytesAtOnce > maximumBodyBytesAtOnce || exceedsBudget) {
                 response.close();
                 break;
             }
+            held?.add(chunk.length);
+            counted += chunk.length;
             chunks.push(chunk);
         }
         bytesAtOnce -= length;
-        return response.isComplete() ? chunks : undefined;
+        if (response.isComplete()) {
+            return chunks;
+        }
+        held?.add(-counted);
+        return undefined;
     };
 };
 
--- a/src/state/errors.ts
+++ b/src/state/errors.ts
@@ -41,6 +41,7 @@
         service => `the request is held back: it crashed upstreams of "${service}"`,
     ),
     "queue-full": entry(503, "not-run", target => `the queue for "${target}" is full`),
+    "buffers-full": entry(503, "not-run", host => `host "${host}" holds as many bytes as its memory allows`),
     "cannot-start-in-time": entry(503, "not-run", target => `"${target}" cannot start the request before its deadline`),
     "no-upstream": entry(503, "not-run", target => `"${target}" has no upstream that takes work`),
     "upstreams-limited": entry(
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -6,6 +6,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { type HeldBytes, requestOverheadBytes } from "../../coordination/ingress/bufferBudget.js";
 import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
 import type { ResponseSink } from "../../coordination/ingress/requestContext.js";
 import { errorBody } from "../../protocol/callerProtocol.js";
@@ -13,6 +14,9 @@
 import type { CallerLimits } from "../../state/ingressTypes.js";
 import { splitAddress } from "../address.js";
 import { disconnectSignal, sendClientError } from "../httpServer.js";
+import type { Buffering } from "./buffering.js";
+import { paceSink } from "./pacedSink.js";
+import { openRequestBuffers, type RequestBuffers } from "./requestBuffers.js";
 
 export type CallerRequest = {
     message: IncomingMessage;
@@ -20,6 +24,8 @@
     sink: ResponseSink;
     /** Aborts when the caller disconnects. */
     callerGone: AbortSignal;
+    /** Absent if what the entry holds isn't budgeted. */
+    buffers: RequestBuffers | undefined;
     /** When the request headers arrived, on the monotonic clock. */
     arrivedAt: number;
 };
@@ -52,16 +58,35 @@
 /** Enough for all callers of a zone to reconnect at once after a restart. */
 const listenBacklog = 1_024;
 
-const readBody = async (message: IncomingMessage, limit: number): Promise<Buffer | undefined> => {
+/** Reads the body to its end; undefined if it exceeds `limit`, or once `onSpent` was called as it exceeds the budget. */
+const readBody = async (
+    message: IncomingMessage,
+    limit: number,
+    held: HeldBytes | undefined,
+    onSpent: () => void,
+): Promise<Buffer | undefined> => {
     const chunks: Buffer[] = [];
     let length = 0;
+    let heldLength = 0;
+    let isDropped = false;
     for await (const chunk of message as AsyncIterable<Buffer>) {
         length += chunk.length;
-        if (length <= limit) {
+        if (!isDropped && held?.fits(chunk.length) === false) {
+            isDropped = true;
+            onSpent();
+        }
+        if (length > limit || isDropped) {
+            held?.add(-heldLength);
+            heldLength = 0;
+            chunks.length = 0;
+        }
+        else {
+            held?.add(chunk.length);
+            heldLength += chunk.length;
             chunks.push(chunk);
         }
     }
-    return length > limit ? undefined : Buffer.concat(chunks);
+    return length > limit || isDropped ? undefined : Buffer.concat(chunks);
 };
 
 const createResponseSink = (
@@ -111,6 +136,8 @@
     shouldCloseConnections: () => boolean;
     handle: (request: CallerRequest) => Promise<void>;
     onError: (error: Error) => void;
+    /** Absent if what the entry holds isn't budgeted. */
+    buffering: Omit<Buffering, "metricsText"> | undefined;
 };
 
 /** Starts the server; resolves once it accepts connections. */
@@ -122,6 +149,7 @@
         shouldCloseConnections,
         handle,
         onError,
+        buffering,
     } = options;
     let isDraining = false;
     let inProgress = 0;
@@ -147,7 +175,7 @@
                 response.shouldKeepAlive = false;
             }
         };
-        const sink = createResponseSink(
+        const unpacedSink = createResponseSink(
             response,
             headerAdapter.requestIdHeader,
             typeof requestId === "string" ? requestId : undefined,
@@ -155,12 +183,37 @@
         );
         const callerGone = disconnectSignal(response);
         const { bodyBytes } = limits() ?? defaultLimits;
-        const body = await readBody(message, bodyBytes);
-        if (body === undefined) {
-            sink.refuse(refusal("body-too-large", [String(bodyBytes)]));
+        const declaredBytes = Number(message.headers["content-length"] ?? 0);
+        if (buffering !== undefined && declaredBytes <= bodyBytes && !buffering.budget.admits(declaredBytes)) {
+            unpacedSink.refuse(buffering.refuse(message));
+            message.resume();
             return;
         }
-        await handle({ message, body, sink, callerGone, arrivedAt });
+        const buffers = buffering === undefined
+            ? undefined
+            : openRequestBuffers(buffering.budget, String(requestId ?? ""), buffering.onReaderEnded);
+        const sink = buffers === undefined
+            ? unpacedSink
+            : paceSink(unpacedSink, response, buffers, () => performance.now());
+        try {
+            buffers?.held.add(requestOverheadBytes);
+            const refuseSpent = (): void => {
+                if (buffering !== undefined) {
+                    sink.refuse(buffering.refuse(message));
+                }
+            };
+            const body = await readBody(message, bodyBytes, buffers?.held, refuseSpent);
+            if (body === undefined) {
+                if (!sink.hasStarted()) {
+                    sink.refuse(refusal("body-too-large", [String(bodyBytes)]));
+                }
+                return;
+            }
+            await handle({ message, body, sink, callerGone, buffers, arrivedAt });
+        }
+        finally {
+            buffers?.held.close();
+        }
     };
 
     const server: Server = createServer({
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -36,7 +36,9 @@
 import type { Logger } from "../logger.js";
 import { monotonicClock } from "../systemClock.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
+import { startBuffering } from "./buffering.js";
 import { type CallerRequest, startCallerServer } from "./callerServer.js";
+import { drainCallers } from "./drainCallers.js";
 import { startEntryGossip } from "./entryGossip.js";
 import { startPeerServer } from "./peerServer.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
@@ -59,14 +61,6 @@
 const defaultCallerTimeoutMilliseconds = 8_000;
 /** After this long without the store, an unknown route or key may have been added in the meantime. */
 const storeStaleMilliseconds = 3_000;
-/**
- * The platform's load balancer removes a daemon after two failed readiness checks, one a second; connections that are
- * being established then may still arrive.
- */
-const idleCloseDelayMilliseconds = 2_600;
-/** Reserved at the end of the grace period to close connections before the process is killed. */
-const shutdownMarginMilliseconds = 300;
-const drainCheckMilliseconds = 50;
 /** Other entries probe the store when they have heard of no contact for about this long. */
 const publishContactAfterMilliseconds = 500;
 /** Fraction of the permitted retry ratio that is used; the rest covers requests that upstreams reject on their own. */
@@ -189,6 +183,7 @@
     const admission = createStreamAdmission(streamScheduler, dependencies);
     const runStream = createStreamTask(streamScheduler, admission, dependencies);
     const runUnary = createUnaryTask(unaryScheduler, responseTimes, dependencies);
+    const buffering = startBuffering(platform, config, { clock, log, metrics, random: Math.random, signal });
     const incarnation = randomUUID();
     let isStopping = false;
     let wasReady = false;
@@ -253,7 +248,9 @@
     const isStoreStale = (): boolean =>
         clock.now() - (storeMonitor.lastContact() ?? -Infinity) > storeStaleMilliseconds;
 
-    const handle = async ({ message, body, sink, callerGone, arrivedAt }: CallerRequest): Promise<void> => {
+    const handle = async (
+        { message, body, sink, callerGone, buffers, arrivedAt }: CallerRequest,
+    ): Promise<void> => {
         const envelope = platform.headerAdapter.readEnvelope(message);
         const table = state.routeTable();
         if (table === undefined || !crashEvidenceSync.isSettled()) {
@@ -285,15 +282,17 @@
             arrivedAt,
             callerDeadlineAt: arrivedAt + patienceMilliseconds,
             responseDueAt,
-            send: withNotices(createSender(platform.headerAdapter, message, body), notices, clock),
+            send: withNotices(createSender(platform.headerAdapter, message, body, buffers), notices, clock),
             sink,
+            held: buffers?.held,
             signal: boundedSignal.signal,
             callerGone,
         };
+        sink.setDueAt?.(responseDueAt);
         metrics.count(`ingress_requests_total{kind="${route.kind}"}`);
         await (route.kind === "streaming" ? runStream : runUnary)(context);
         boundedSignal.dispose();
-        if (callerGone.aborted) {
+        if (callerGone.aborted && buffers?.wasEnded() !== true) {
             metrics.count("ingress_callers_gone_total");
             log.request(envelope.requestId, "caller disconnected", {
                 afterMilliseconds: Math.round(clock.now() - arrivedAt),
@@ -312,6 +311,7 @@
         shouldCloseConnections: isCutOff,
         handle,
         onError: error => logger.debug("connection failed", { reason: error.message }),
+        buffering,
     });
     const isReady = (): boolean => {
         const isReadyNow = !isStopping && state.routeTable() !== undefined && crashEvidenceSync.isSettled()
@@ -345,23 +345,16 @@
         groups: streamScheduler.groups(),
         heldBack: crashEvidence.holds(),
         statedLimits: upstreamLimits.stated.limits(),
+        ...(buffering === undefined ? {} : { buffers: buffering.budget.state() }),
     });
-    const metricsServer = await startMetricsServer(config.metrics, metrics.text, describeState);
+    const metricsText = (): string => metrics.text() + (buffering?.metricsText() ?? "");
+    const metricsServer = await startMetricsServer(config.metrics, metricsText, describeState);
 
     return {
         addresses: { callers: callers.address, readiness: readiness.address, metrics: metricsServer.address },
         stop: async () => {
             isStopping = true;
-            callers.startDraining();
-            const startedAt = clock.now();
-            const graceMilliseconds = config.graceSeconds * 1_000 - shutdownMarginMilliseconds;
-            await clock.sleep(idleCloseDelayMilliseconds, signal);
-            do {
-                callers.closeIdle();
-                await clock.sleep(drainCheckMilliseconds, signal);
-            }
-            while (callers.isBusy() && clock.now() - startedAt < graceMilliseconds);
-            callers.close();
+            await drainCallers(callers, config.graceSeconds * 1_000, clock, signal);
             await Promise.all([readiness.close(), metricsServer.close(), peerServer.close()]);
         },
     };
--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -7,12 +7,16 @@
 import { err, ok, type Result } from "neverthrow";
 import { type IncomingMessage, request as startRequest } from "node:http";
 import { connect, type Socket } from "node:net";
+import type { HeldBytes } from "../../coordination/ingress/bufferBudget.js";
 import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
 import type { SendToUpstream, TransportFailure, UpstreamResponse } from "../../coordination/ingress/upstreamAttempt.js";
 import { splitAddress } from "../address.js";
+import type { RequestBuffers } from "./requestBuffers.js";
 
 /** Ten round trips between zones; a lost packet exceeds it, so that another upstream is tried instead. */
 const connectTimeoutMilliseconds = 150;
+/** Bytes of an answer that are read ahead of its reader; a single read may bring more. */
+const readAheadBytes = 16_384;
 
 const openConnection = (address: string, signal: AbortSignal): Promise<Result<Socket, TransportFailure>> =>
     new Promise(resolve => {
@@ -39,8 +43,16 @@
         socket.once("connect", () => settle(ok(socket)));
     });
 
-/** Reads the body of a response, with a timeout between chunks. */
-const readBody = (message: IncomingMessage, socket: Socket, idleMilliseconds: number) => {
+/**
+ * Reads the body of a response, with a timeout between chunks. With an account, the connection is read only as fast as
+ * the body, and the timeout is suspended while it isn't read.
+ */
+const readBody = (
+    message: IncomingMessage,
+    socket: Socket,
+    idleMilliseconds: number,
+    held: HeldBytes | undefined,
+) => {
     // An upstream that dies closes its connections like one that has finished, so a response that is delimited only by
     // the end of its connection can't be verified as complete.
     const isFramed = ["content-length", "transfer-encoding"].some(name => message.headers[name] !== undefined);
@@ -57,17 +69,49 @@
             isEnded = true;
             isComplete = error === undefined && message.complete && isFramed;
             clearTimeout(timer);
+            removeGauge?.();
             notifyReader();
         }
     };
+    let unreadBytes = 0;
+    let isPaused = false;
+    // Node reads on for a while after a pause.
+    const removeGauge = held?.addGauge(() => message.readableLength);
+    const pauseIfAhead = (): void => {
+        if (unreadBytes >= readAheadBytes) {
+            isPaused = true;
+            message.pause();
+        }
+    };
+    const resume = (): void => {
+        if (isPaused) {
+            isPaused = false;
+            timer.refresh();
+            message.resume();
+        }
+    };
     const timer = setTimeout(() => {
+        if (isPaused) {
+            return;
+        }
         endBody(new Error(`no data for ${Math.round(idleMilliseconds)} ms`));
         socket.destroy();
     }, idleMilliseconds);
     socket.once("error", error => endBody(error));
     message.on("data", (chunk: Buffer) => {
         timer.refresh();
-        chunks.push(chunk);
+        if (held === undefined) {
+            chunks.push(chunk);
+        }
+        else {
+            // The reader of the body accounts for the part that it has taken, so it takes small parts.
+            for (let start = 0; start < chunk.length; start += readAheadBytes) {
+                chunks.push(chunk.subarray(start, start + readAheadBytes));
+            }
+            held.add(chunk.length);
+            unreadBytes += chunk.length;
+            pauseIfAhead();
+        }
         notifyReader();
     });
     message.once("error", error => endBody(error));
@@ -76,30 +120,53 @@
     message.once("close", () => endBody(new Error("the connection was closed")));
 
     async function* read(): AsyncGenerator<Buffer> {
-        for (;;) {
-            const chunk = chunks.shift();
-            if (chunk !== undefined) {
-                yield chunk;
-            }
-            else if (isEnded) {
-                return;
-            }
-            else {
-                await new Promise<void>(resolve => {
-                    wakeReader = resolve;
-                });
+        try {
+            for (;;) {
+                const chunk = chunks.shift();
+                if (chunk !== undefined) {
+                    held?.add(-chunk.length);
+                    unreadBytes -= chunk.length;
+                    yield chunk;
+                }
+                else if (isEnded) {
+                    return;
+                }
+                else {
+                    resume();
+                    await new Promise<void>(resolve => {
+                        wakeReader = resolve;
+                    });
+                }
             }
         }
+        finally {
+            held?.add(-unreadBytes);
+        }
     }
 
     return { body: read(), isComplete: () => isComplete };
 };
 
+/** Adds the server at the other end of `socket` as the reader of the request's body; returns a function that ends it. */
+const watchBodyReader = ({ held, addReader }: RequestBuffers, socket: Socket, end: () => void): () => void => {
+    const sentAt = performance.now();
+    return addReader({
+        kind: "server",
+        // A body goes to the connection as one part, so its progress can't be seen until it is complete.
+        heldBytes: () => socket.writableLength === 0 ? 0 : held.bytes(),
+        lastProgressAt: () => socket.writableLength === 0 ? performance.now() : sentAt,
+        heldBackSince: () => undefined,
+        dueAt: () => Infinity,
+        readAhead: () => undefined,
+        end,
+    });
+};
+
 /**
  * Creates the function that sends the caller's `request`, whose body has been read, with headers from `headerAdapter`.
  */
 export const createSender =
-    (headerAdapter: HeaderAdapter, request: IncomingMessage, body: Buffer): SendToUpstream =>
+    (headerAdapter: HeaderAdapter, request: IncomingMessage, body: Buffer, buffers?: RequestBuffers): SendToUpstream =>
     async (upstream, metadata, timeouts, signal) => {
         const opened = await openConnection(upstream.address, signal);
         if (opened.isErr()) {
@@ -122,6 +189,7 @@
             const close = (): void => {
                 clearTimeout(timer);
                 signal.removeEventListener("abort", close);
+                stopWatching?.();
                 outgoing.destroy();
                 socket.destroy();
             };
@@ -143,7 +211,8 @@
             outgoing.once("response", message => {
                 isAnswered = true;
                 clearTimeout(timer);
-                const bodyReader = readBody(message, socket, timeouts.idleMilliseconds);
+                stopWatching?.();
+                const bodyReader = readBody(message, socket, timeouts.idleMilliseconds, buffers?.held);
                 const response: UpstreamResponse = {
                     status: message.statusCode ?? 0,
                     metadata: headerAdapter.readResponseMetadata(message),
@@ -158,6 +227,9 @@
                 socket.once("close", () => signal.removeEventListener("abort", close));
                 resolve(ok(response));
             });
+            const stopWatching = buffers === undefined
+                ? undefined
+                : watchBodyReader(buffers, socket, () => failAttempt("the server did not read the request"));
             outgoing.end(body);
         });
     };
