--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -35,7 +35,7 @@
     /** Ends all entries at once, without notice, and starts as many anew. */
     restartEntries: () => Promise<void>;
     /** Publishes a server in the platform's list of upstreams. */
-    listUpstream: (server: SealedServer, service: string, fields?: object) => void;
+    listUpstream: (server: Pick<SealedServer, "id" | "address">, service: string, fields?: object) => void;
     configure: (version: number, changes?: object) => void;
     call: (path: string, options?: CallOptions) => Promise<CallerAnswer>;
     /** Polls until `condition` holds. */
@@ -148,7 +148,12 @@
 /** Entries gossip at addresses of their own, so that they can share a port number. */
 const entryIp = (index: number): string => `127.0.1.${index + 1}`;
 
-export const startPlatformDeployment = async (isConfigured = true, entryCount = 1): Promise<PlatformDeployment> => {
+/** With `memoryMegabytes`, the platform states slow readers. */
+export const startPlatformDeployment = async (
+    isConfigured = true,
+    entryCount = 1,
+    memoryMegabytes?: number,
+): Promise<PlatformDeployment> => {
     const store = await startKeyedStore();
     const logLines: LogLine[] = [];
     if (isConfigured) {
@@ -184,6 +189,7 @@
                 retrySlack: 400,
                 retryWindowSeconds: 10,
                 platformContracts: [],
+                memoryMegabytes,
             },
             {
                 headerAdapter: platformHeaderAdapter,
@@ -193,7 +199,7 @@
                 createCrashEvidenceStore: (source: RecordSource) => createCrashEvidenceStore(storeClient, source),
                 engines: platformEngines,
                 readinessPath: paths.readiness,
-                conditions: { hasSlowReaders: false },
+                conditions: { hasSlowReaders: memoryMegabytes !== undefined },
             },
             logger,
             lifetime.signal,
