--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -22,8 +22,10 @@
 
 const runningChildren = new Set<ChildProcess>();
 
-export const startProgram = (name: string, parameters: string[]): Program =>
-    startNode(name, [`dist/src/programs/${name}.js`, ...parameters], { env: { ...process.env, ...testTokens } });
+export const startProgram = (name: string, parameters: string[], nodeOptions: string[] = []): Program =>
+    startNode(name, [...nodeOptions, `dist/src/programs/${name}.js`, ...parameters], {
+        env: { ...process.env, ...testTokens },
+    });
 
 /** Runs `node` with these arguments; `name` stands in error messages. */
 export const startNode = (
