Divide capacity among priorities over all entries

Cause: the queue and the order of priorities were local to each entry, so a stream of priority 2 took a place while one of priority 0 waited at another entry. Change: entries state their demand by priority; each admits a share of its arrivals of a priority while capacity is short, and leaves places free for more urgent streams elsewhere. The most urgent may start in places that have ended since the counts.

--- a/src/coordination/ingress/explanation.ts
+++ b/src/coordination/ingress/explanation.ts
@@ -34,6 +34,10 @@
         "no group had capacity within the share of the latency objective that may be spent queueing",
     ],
     "queue-full": ["load", "the queue was full: more streams were waiting than could start in time"],
+    "outranked": [
+        "load",
+        "capacity was short, and more urgent streams of all entries left only a share of it to its priority",
+    ],
     "upstreams-limited": [
         "load",
         "every usable upstream was at the limit on requests that it states, see the limited ones",
@@ -100,6 +104,8 @@
     "dependency regained",
     "store read failed",
     "log lines dropped",
+    "capacity divided by priority",
+    "capacity no longer divided",
 ]);
 const groupEvents = new Set(["group stalled", "group recovered", "group formed", "expert map", "hold resolved"]);
 
--- a/src/coordination/ingress/peerStatusTable.ts
+++ b/src/coordination/ingress/peerStatusTable.ts
@@ -22,6 +22,16 @@
     waiting: number;
 };
 
+/** The demand of the other entries for one service. */
+export type PeerDemand = {
+    /** One for each entry and priority. */
+    rows: PriorityDemand[];
+    /** Mean time since the counts were received; 0 without any. */
+    meanAgeSeconds: number;
+    /** Whether all live entries state their demand. */
+    isComplete: boolean;
+};
+
 /** Work that one entry's requests still have to do on one upstream. */
 export type OutstandingWork = {
     /** Prompt tokens of streams without an event so far. */
@@ -44,8 +54,11 @@
     running: Record<string, number>;
     /** Its concurrency limit for each group. */
     limits: Record<string, number>;
-    /** Its demand by service, in the order of priorities; only for services whose routes differ in priority. */
-    demand: Record<string, PriorityDemand[]>;
+    /**
+     * Its demand by service with recent streams, in the order of priorities; undefined from an entry of an earlier
+     * build.
+     */
+    demand: Record<string, PriorityDemand[]> | undefined;
     /** Its outstanding work by upstream id; only for services that are routed by cost. */
     work: Record<string, OutstandingWork>;
     /** Undefined until it has read both topics of the store once. */
@@ -71,6 +84,8 @@
     runningOn: (id: string) => number;
     /** Sum of the ages of the other entries' counts: how much time of one entry the counts don't show. */
     countAgeSeconds: () => number;
+    /** The other entries' demand for a service. */
+    demandOf: (service: string) => PeerDemand;
     /** Mean of the other entries' concurrency limits for a group; undefined if none has one. */
     limitOf: (group: string) => number | undefined;
     /** Number of live entries, including this one. */
@@ -164,6 +179,15 @@
             currentTotals();
             return countAgeSeconds;
         },
+        demandOf: service => {
+            const fresh = freshStatuses();
+            const ages = fresh.reduce((total, { receivedAt }) => total + clock.now() - receivedAt, 0);
+            return {
+                rows: fresh.flatMap(({ status }) => status.demand?.[service] ?? []),
+                meanAgeSeconds: fresh.length === 0 ? 0 : ages / fresh.length / millisecondsPerSecond,
+                isComplete: fresh.every(({ status }) => status.demand !== undefined),
+            };
+        },
         limitOf: group => {
             const limits = freshStatuses().flatMap(({ status }) => status.limits[group] ?? []);
             return limits.length === 0 ? undefined : limits.reduce((total, limit) => total + limit, 0) / limits.length;
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -18,6 +18,7 @@
 import { suspectTraits } from "./requestTraits.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
 import type { LimitState } from "./upstreamLimits.js";
+import type { UrgencyDecision, UrgencyShares } from "./urgencyShares.js";
 
 export type AdmissionRefusal = {
     kind: ErrorCode;
@@ -33,6 +34,8 @@
     retryQueued: () => void;
     /** Randomized time after which a caller that is refused now should retry. */
     suggestedRetryMilliseconds: () => number;
+    /** Position in the queues of engines; undefined where the engines' own order is left as it is. */
+    queuePriority: (context: Pick<RequestContext, "service" | "priority">) => number | undefined;
 };
 
 /** The rest of the objective is for prefill and one forward pass. */
@@ -52,12 +55,13 @@
 /** Each denial costs a round trip to another entry, so a stream then goes to an upstream without a limit if it can. */
 const deniedUntilUnlimited = 2;
 
-const queuePriority = (priority: number): Priority =>
+const localPriority = (priority: number): Priority =>
     priority === 0 ? "interactive" : priority === 1 ? "standard" : "batch";
 
 export const createStreamAdmission = (
     scheduler: StreamScheduler,
     { clock, random, crashEvidence, upstreamLimits }: RequestDependencies,
+    urgencyShares?: UrgencyShares,
 ): StreamAdmission => {
     const queues = new Map<string, FairQueue>();
     const noneExcluded: ReadonlySet<string> = new Set();
@@ -70,6 +74,8 @@
 
     const suggestedRetryMilliseconds = (): number =>
         minimumRetryAfterMilliseconds + random() * retryAfterSpreadMilliseconds;
+    const retryMilliseconds = ({ service, callerDeadlineAt }: RequestContext): number =>
+        urgencyShares?.retryAfterMilliseconds(service, callerDeadlineAt) ?? suggestedRetryMilliseconds();
     const suggestedRetryAfterStall = (): number =>
         stalledRetryAfterMilliseconds + random() * stalledRetryAfterSpreadMilliseconds;
 
@@ -110,14 +116,16 @@
 
     /** Waits for a place; it may be on an upstream that is at the limit on requests that it states. */
     const waitForPlace = async (
-        { service, route, envelope, clientAccount, priority, arrivedAt, responseDueAt, traits, signal }: RequestContext,
+        context: RequestContext,
         prefersUnlimited: boolean,
+        decision: UrgencyDecision | undefined,
     ): Promise<Result<StreamReservation, AdmissionRefusal>> => {
+        const { service, route, envelope, clientAccount, priority, arrivedAt, responseDueAt, traits, signal } = context;
         const queue = queueOf(service);
         const startDeadline = startDeadlineOf({ route, arrivedAt, responseDueAt });
         const entered = await queue.submit<Result<StreamReservation, AdmissionRefusal>>({
             clientAccount: clientAccount ?? "",
-            priority: queuePriority(priority),
+            priority: localPriority(priority),
             tokens: envelope.promptTokens + envelope.maximumAnswerTokens,
             startDeadline,
             tryStart: () => {
@@ -128,6 +136,9 @@
                 const reservation = scheduler.reserve(service, noneExcluded, {
                     admissionClass: "new",
                     prefersUnlimited,
+                    ...decision === undefined
+                        ? {}
+                        : { heldBackPlaces: urgencyShares?.heldBackPlaces(service, priority) ?? 0 },
                 });
                 if (reservation !== undefined) {
                     return { kind: "done", value: ok(reservation) };
@@ -143,14 +154,14 @@
         }, signal);
         return entered.mapErr(({ kind }): AdmissionRefusal => ({
             kind: kind === "full" ? "queue-full" : "cannot-start-in-time",
-            retryAfterMilliseconds: suggestedRetryMilliseconds(),
+            retryAfterMilliseconds: retryMilliseconds(context),
             details: { queued: queue.length(), groups: scheduler.groups() },
         })).andThen(started => started);
     };
 
     return {
         enter: async context => {
-            const { service, signal } = context;
+            const { service, priority, signal } = context;
             const hold = crashEvidence.holdOf(suspectTraits(context.traits), false);
             if (hold !== undefined) {
                 return err(heldBack(hold));
@@ -158,9 +169,23 @@
             if (!scheduler.hasUpstream(service, noneExcluded)) {
                 return err(noUpstream(service));
             }
+            const decision = urgencyShares?.decide(service, priority);
+            if (decision?.kind === "outranked") {
+                return err({
+                    kind: "outranked",
+                    retryAfterMilliseconds: retryMilliseconds(context),
+                    details: { ...decision.details, groups: scheduler.groups() },
+                });
+            }
             for (let denied = 0;; denied += 1) {
-                const place = await waitForPlace(context, denied >= deniedUntilUnlimited);
-                if (place.isErr() || await upstreamLimits.take(place.value.upstream, signal) || signal.aborted) {
+                const endWait = urgencyShares?.demand.recordWait(service, priority);
+                const place = await waitForPlace(context, denied >= deniedUntilUnlimited, decision);
+                endWait?.();
+                if (place.isErr()) {
+                    return place;
+                }
+                if (await upstreamLimits.take(place.value.upstream, signal) || signal.aborted) {
+                    urgencyShares?.demand.recordStart(service, priority);
                     return place;
                 }
                 place.value.release();
@@ -172,5 +197,6 @@
         },
         retryQueued,
         suggestedRetryMilliseconds,
+        queuePriority: ({ service, priority }) => urgencyShares?.queuePriority(service, priority),
     };
 };
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -37,7 +37,10 @@
     admissionClass: StreamAdmissionClass;
     /** Upstreams that state a limit on requests are chosen only if no other has capacity. */
     prefersUnlimited?: boolean;
-    /** Free places of the service, over all of its groups, that are left to more urgent streams. */
+    /**
+     * Free places of the service, over all of its groups, that are left to more urgent streams. Negative for the most
+     * urgent ones: places beyond the groups' limits that they may take.
+     */
     heldBackPlaces?: number;
     /** What the stream is expected to cost; undefined if its service is not routed by cost. */
     cost?: StreamCost | undefined;
@@ -52,6 +55,8 @@
     running: () => ReadonlyMap<string, number>;
     /** For each group its concurrency limit, and the running streams of this entry and of all entries. */
     groups: () => { group: string; limit: number; running: number; overall: number; }[];
+    /** Sums over the service's running groups: their limits and the running streams of all entries. */
+    loadOf: (service: string) => { limit: number; running: number; };
     /** Whether any upstream of the service, not in `excluded`, is in a running group. */
     hasUpstream: (service: string, excluded: ReadonlySet<string>) => boolean;
     /** Time until the first upstream takes work again, if all usable ones have asked for a pause; else undefined. */
@@ -171,7 +176,11 @@
     const freeSlotsOf = (upstream: KnownUpstream): number => upstream.slots - streamCountOn(upstream.id);
 
     /** Groups of the upstreams that accept another stream. */
-    const groupsWithCapacity = (upstreams: KnownUpstream[], admissionClass: StreamAdmissionClass): GroupCandidate[] => {
+    const groupsWithCapacity = (
+        upstreams: KnownUpstream[],
+        admissionClass: StreamAdmissionClass,
+        placesAboveLimits: number,
+    ): GroupCandidate[] => {
         const byGroup = new Map<string, KnownUpstream[]>();
         for (const upstream of upstreams) {
             const group = groupOf(upstream);
@@ -182,7 +191,8 @@
         return [...byGroup]
             .map(([group, ranks]) => {
                 const concurrencyLimit = concurrencyLimitOf(group);
-                const freeUnderLimit = Math.floor(concurrencyLimit.limit() - runningOnAllEntries(group));
+                const limit = concurrencyLimit.limit() + placesAboveLimits / byGroup.size;
+                const freeUnderLimit = Math.floor(limit - runningOnAllEntries(group));
                 const freeSlots = sum(ranks, upstream => Math.max(0, freeSlotsOf(upstream)));
                 const admitted = admissionClass === "admitted" ? Math.max(1, freeUnderLimit) : freeUnderLimit;
                 return { group, concurrencyLimit, ranks, freePlaces: Math.min(admitted, freeSlots) };
@@ -193,11 +203,16 @@
     const reserveAmong = (
         candidateUpstreams: KnownUpstream[],
         admissionClass: StreamAdmissionClass,
+        heldBackPlaces: number,
     ): StreamReservation | undefined => {
         const upstreams = candidateUpstreams.filter(upstream => upstreamLimits.millisecondsUntilOpen(upstream) <= 0);
         const unseenStarts = startRate.perSecond() * peerStatuses.countAgeSeconds();
+        const groups = groupsWithCapacity(upstreams, admissionClass, Math.max(0, -heldBackPlaces));
+        if (heldBackPlaces > 0 && groups.reduce((total, group) => total + group.freePlaces, 0) <= heldBackPlaces) {
+            return undefined;
+        }
         const candidate = chooseGroup(
-            groupsWithCapacity(upstreams, admissionClass),
+            groups,
             { freePlaces: group => group.freePlaces, unseenStarts, random },
         );
         const upstream = chooseRank(candidate?.ranks ?? [], { freePlaces: freeSlotsOf, unseenStarts, random });
@@ -234,16 +249,17 @@
     };
 
     return {
-        reserve: (service, excluded, { admissionClass, prefersUnlimited = false }) => {
+        reserve: (service, excluded, { admissionClass, prefersUnlimited = false, heldBackPlaces = 0 }) => {
             const upstreams = candidates(service, excluded);
             const unlimited = prefersUnlimited ? upstreams.filter(upstream => !upstreamLimits.isLimited(upstream)) : [];
-            return reserveAmong(unlimited, admissionClass) ?? reserveAmong(upstreams, admissionClass);
+            return reserveAmong(unlimited, admissionClass, heldBackPlaces)
+                ?? reserveAmong(upstreams, admissionClass, heldBackPlaces);
         },
         reserveElsewhere: (upstream, excluded) => {
             const others = candidates(upstream.service, excluded).filter(other =>
                 upstream.group === undefined ? other.id !== upstream.id : groupOf(other) !== groupOf(upstream)
             );
-            return reserveAmong(others, "new");
+            return reserveAmong(others, "new", 0);
         },
         running: () => runningByUpstream,
         groups: () =>
@@ -253,6 +269,13 @@
                 running: concurrencyLimit.running(),
                 overall: runningOnAllEntries(group),
             })),
+        loadOf: service => {
+            const groups = [...new Set(candidates(service, new Set()).map(groupOf))];
+            return {
+                limit: groups.reduce((total, group) => total + Math.floor(concurrencyLimitOf(group).limit()), 0),
+                running: groups.reduce((total, group) => total + runningOnAllEntries(group), 0),
+            };
+        },
         pauseMilliseconds: service => pauses.millisecondsUntilFirst(state.usable(service)),
         limitState: (service, excluded) => limitStateOf(candidates(service, excluded), upstreamLimits),
         hasUpstream: (service, excluded) => candidates(service, excluded).length > 0,
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -136,6 +136,7 @@
             patienceMilliseconds: callerDeadlineAt - clock.now(),
             clientAccount,
             lastEventId: progress.lastEventId,
+            queuePriority: admission.queuePriority(context),
         };
         const remainingMilliseconds = responseDueAt - clock.now();
         const timeouts: AttemptTimeouts = {
--- a/src/protocol/entryGossipMessages.ts
+++ b/src/protocol/entryGossipMessages.ts
@@ -30,7 +30,7 @@
     sequence: z.number(),
     running: z.record(z.string(), z.number()),
     limits: z.record(z.string(), z.number()),
-    demand: z.record(z.string(), z.array(demandSchema)).default({}),
+    demand: z.record(z.string(), z.array(demandSchema)).optional(),
     work: z.record(z.string(), workSchema).default({}),
     // Entries of earlier builds state offsets only, and neither whether they are served nor what they have read.
     store: z.object({
@@ -62,7 +62,7 @@
 
 const toWire = ({ store, demand, work, ...status }: EntryStatus): WireStatus => ({
     ...status,
-    demand: mapValues(
+    demand: demand && mapValues(
         demand,
         priorities =>
             priorities.map(({ priority, arrivalsPerSecond, startsPerSecond, waiting }) => [
@@ -93,7 +93,7 @@
 
 const fromWire = ({ store, demand, work, ...status }: WireStatus): EntryStatus => ({
     ...status as Omit<EntryStatus, "store" | "demand" | "work">,
-    demand: mapValues(
+    demand: demand && mapValues(
         demand,
         priorities =>
             priorities.map(([priority, arrivalsPerSecond, startsPerSecond, waiting]) => ({
--- a/src/state/errors.ts
+++ b/src/state/errors.ts
@@ -42,6 +42,7 @@
     ),
     "queue-full": entry(503, "not-run", target => `the queue for "${target}" is full`),
     "cannot-start-in-time": entry(503, "not-run", target => `"${target}" cannot start the request before its deadline`),
+    "outranked": entry(503, "not-run", target => `"${target}" has capacity for more urgent requests only`),
     "no-upstream": entry(503, "not-run", target => `"${target}" has no upstream that takes work`),
     "upstreams-limited": entry(
         503,
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -28,6 +28,7 @@
 import { createUpstreamHealth } from "../../coordination/ingress/upstreamHealth.js";
 import { withNotices } from "../../coordination/ingress/upstreamNotices.js";
 import { createUpstreamPauses } from "../../coordination/ingress/upstreamPauses.js";
+import { createUrgencyShares } from "../../coordination/ingress/urgencyShares.js";
 import { createMetrics } from "../../coordination/metrics.js";
 import { createRetryBudget } from "../../coordination/retryBudget.js";
 import type { IngressConfig } from "../../protocol/ingressConfig.js";
@@ -186,7 +187,12 @@
         runningOnOtherEntries: peerStatuses.runningOn,
         random: Math.random,
     });
-    const admission = createStreamAdmission(streamScheduler, dependencies);
+    const urgencyShares = createUrgencyShares({
+        ...dependencies,
+        peerStatuses,
+        load: streamScheduler.loadOf,
+    });
+    const admission = createStreamAdmission(streamScheduler, dependencies, urgencyShares);
     const runStream = createStreamTask(streamScheduler, admission, dependencies);
     const runUnary = createUnaryTask(unaryScheduler, responseTimes, dependencies);
     const incarnation = randomUUID();
@@ -235,7 +241,7 @@
         ownStatusFields: () => ({
             incarnation,
             running: runningByUpstream(),
-            demand: {},
+            demand: urgencyShares.demand.all(),
             work: {},
             limits: Object.fromEntries(streamScheduler.groups().map(({ group, limit }) => [group, limit])),
             store: storeMonitor.readStatus(),
