Merge capacity shared by priority

While capacity is short, each entry admits a share of its arrivals of a priority by the demand of all entries. It goes by the rank of account and route, and only for services whose streaming routes differ in priority, so the other deployments are served as before.

--- a/src/coordination/fairQueue.ts
+++ b/src/coordination/fairQueue.ts
@@ -25,7 +25,8 @@
 
 export type QueueRequest<Started> = {
     clientAccount: string;
-    priority: Priority;
+    /** A rank has 0 as the first. */
+    priority: Priority | number;
     /** Cost of the request in the division among accounts. */
     tokens: number;
     /** Latest time at which the request may start, in milliseconds by the clock. */
@@ -60,6 +61,9 @@
 const resumedPriorityRank = -1;
 const priorityRanks: Record<Priority, number> = { interactive: 0, standard: 1, batch: 2 };
 
+const rankOf = (priority: Priority | number): number =>
+    typeof priority === "number" ? priority : priorityRanks[priority];
+
 /** One pass skips up to this many blocked requests; a later one may start, as requests avoid different hosts. */
 const blockedRequestsTried = 4;
 
@@ -157,7 +161,7 @@
             };
             const queued: QueuedRequest = {
                 clientAccount: request.clientAccount,
-                priorityRank: request.isResumed === true ? resumedPriorityRank : priorityRanks[request.priority],
+                priorityRank: request.isResumed === true ? resumedPriorityRank : rankOf(request.priority),
                 virtualStart,
                 arrivalNumber: arrivals,
                 startDeadline: request.startDeadline,
--- a/src/coordination/ingress/explanation.ts
+++ b/src/coordination/ingress/explanation.ts
@@ -42,6 +42,10 @@
         "caller-gone",
         "its caller read too slowly, and the entry closed the connection to free memory or as the answer was overdue",
     ],
+    "outranked": [
+        "load",
+        "capacity was short, and more urgent streams of all entries left only a share of it to its priority",
+    ],
     "upstreams-limited": [
         "load",
         "every usable upstream was at the limit on requests that it states, see the limited ones",
@@ -110,6 +114,8 @@
     "log lines dropped",
     "buffers nearly spent",
     "buffers relieved",
+    "capacity divided by priority",
+    "capacity no longer divided",
 ]);
 const groupEvents = new Set(["group stalled", "group recovered", "group formed", "expert map", "hold resolved"]);
 
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -19,6 +19,7 @@
 import { suspectTraits } from "./requestTraits.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
 import type { LimitState } from "./upstreamLimits.js";
+import type { UrgencyDecision, UrgencyShares } from "./urgencyShares.js";
 
 export type AdmissionRefusal = {
     kind: ErrorCode;
@@ -34,6 +35,8 @@
     retryQueued: () => void;
     /** Randomized time after which a caller that is refused now should retry. */
     suggestedRetryMilliseconds: () => number;
+    /** Position in the queues of engines; undefined where the engines' own order is left as it is. */
+    queuePriority: (context: Pick<RequestContext, "service" | "urgency">) => number | undefined;
 };
 
 /** The rest of the objective is for prefill and one forward pass. */
@@ -53,13 +56,16 @@
 /** Each denial costs a round trip to another entry, so a stream then goes to an upstream without a limit if it can. */
 const deniedUntilUnlimited = 2;
 
-const queuePriority = (priority: number): Priority =>
+/** Parts that take effect only where the configuration or the settings call for them. */
+export type StreamAdmissionParts = { urgencyShares?: UrgencyShares; recoveryWait?: RecoveryWait | undefined; };
+
+const localPriority = (priority: number): Priority =>
     priority === 0 ? "interactive" : priority === 1 ? "standard" : "batch";
 
 export const createStreamAdmission = (
     scheduler: StreamScheduler,
     { clock, random, crashEvidence, upstreamLimits, log, metrics }: RequestDependencies,
-    recoveryWait?: RecoveryWait,
+    { urgencyShares, recoveryWait }: StreamAdmissionParts = {},
 ): StreamAdmission => {
     const queues = new Map<string, FairQueue>();
     const noneExcluded: ReadonlySet<string> = new Set();
@@ -72,6 +78,19 @@
 
     const suggestedRetryMilliseconds = (): number =>
         minimumRetryAfterMilliseconds + random() * retryAfterSpreadMilliseconds;
+    /** The division of capacity, as it concerns one stream; undefined if the routes of its service don't differ. */
+    const sharesFor = ({ service, urgency }: Pick<RequestContext, "service" | "urgency">) =>
+        urgencyShares === undefined || urgency === undefined ? undefined : {
+            decide: () => urgencyShares.decide(service, urgency),
+            heldBackPlaces: () => urgencyShares.heldBackPlaces(service, urgency),
+            queuePriority: () => urgencyShares.queuePriority(service, urgency),
+            retryAfterMilliseconds: (callerDeadlineAt: number) =>
+                urgencyShares.retryAfterMilliseconds(service, callerDeadlineAt),
+            recordWait: () => urgencyShares.demand.recordWait(service, urgency),
+            recordStart: () => urgencyShares.demand.recordStart(service, urgency),
+        };
+    const retryMilliseconds = (context: RequestContext): number =>
+        sharesFor(context)?.retryAfterMilliseconds(context.callerDeadlineAt) ?? suggestedRetryMilliseconds();
     const suggestedRetryAfterStall = (): number =>
         stalledRetryAfterMilliseconds + random() * stalledRetryAfterSpreadMilliseconds;
 
@@ -112,14 +131,16 @@
 
     /** Waits for a place; it may be on an upstream that is at the limit on requests that it states. */
     const waitForPlace = async (
-        { service, route, envelope, clientAccount, priority, arrivedAt, responseDueAt, traits, signal }: RequestContext,
+        context: RequestContext,
         prefersUnlimited: boolean,
+        decision: UrgencyDecision | undefined,
     ): Promise<Result<StreamReservation, AdmissionRefusal>> => {
+        const { service, route, envelope, clientAccount, arrivedAt, responseDueAt, traits, signal } = context;
         const queue = queueOf(service);
         const startDeadline = startDeadlineOf({ route, arrivedAt, responseDueAt });
         const entered = await queue.submit<Result<StreamReservation, AdmissionRefusal>>({
             clientAccount: clientAccount ?? "",
-            priority: queuePriority(priority),
+            priority: context.urgency ?? localPriority(context.priority),
             tokens: envelope.promptTokens + envelope.maximumAnswerTokens,
             startDeadline,
             tryStart: () => {
@@ -130,6 +151,9 @@
                 const reservation = scheduler.reserve(service, noneExcluded, {
                     admissionClass: "new",
                     prefersUnlimited,
+                    ...decision === undefined
+                        ? {}
+                        : { heldBackPlaces: sharesFor(context)?.heldBackPlaces() ?? 0 },
                 });
                 if (reservation !== undefined) {
                     return { kind: "done", value: ok(reservation) };
@@ -145,7 +169,7 @@
         }, signal);
         return entered.mapErr(({ kind }): AdmissionRefusal => ({
             kind: kind === "full" ? "queue-full" : "cannot-start-in-time",
-            retryAfterMilliseconds: suggestedRetryMilliseconds(),
+            retryAfterMilliseconds: retryMilliseconds(context),
             details: { queued: queue.length(), groups: scheduler.groups() },
         })).andThen(started => started);
     };
@@ -174,9 +198,24 @@
             if (!scheduler.hasUpstream(service, noneExcluded) && !await waitForRecovery(context)) {
                 return err(noUpstream(service));
             }
+            const shares = sharesFor(context);
+            const decision = shares?.decide();
+            if (decision?.kind === "outranked") {
+                return err({
+                    kind: "outranked",
+                    retryAfterMilliseconds: retryMilliseconds(context),
+                    details: { ...decision.details, groups: scheduler.groups() },
+                });
+            }
             for (let denied = 0;; denied += 1) {
-                const place = await waitForPlace(context, denied >= deniedUntilUnlimited);
-                if (place.isErr() || await upstreamLimits.take(place.value.upstream, signal) || signal.aborted) {
+                const endWait = shares?.recordWait();
+                const place = await waitForPlace(context, denied >= deniedUntilUnlimited, decision);
+                endWait?.();
+                if (place.isErr()) {
+                    return place;
+                }
+                if (await upstreamLimits.take(place.value.upstream, signal) || signal.aborted) {
+                    shares?.recordStart();
                     return place;
                 }
                 place.value.release();
@@ -188,5 +227,6 @@
         },
         retryQueued,
         suggestedRetryMilliseconds,
+        queuePriority: context => sharesFor(context)?.queuePriority(),
     };
 };
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -29,6 +29,7 @@
 import { createUpstreamHealth } from "../../coordination/ingress/upstreamHealth.js";
 import { withNotices } from "../../coordination/ingress/upstreamNotices.js";
 import { createUpstreamPauses } from "../../coordination/ingress/upstreamPauses.js";
+import { createUrgencyShares } from "../../coordination/ingress/urgencyShares.js";
 import { createMetrics } from "../../coordination/metrics.js";
 import { createRetryBudget } from "../../coordination/retryBudget.js";
 import type { IngressConfig } from "../../protocol/ingressConfig.js";
@@ -181,10 +182,11 @@
         runningOnOtherEntries: peerStatuses.runningOn,
         random: Math.random,
     });
+    const urgencyShares = createUrgencyShares({ ...dependencies, peerStatuses, load: streamScheduler.loadOf });
     const recoveryWait = config.waitForRecovery
         ? createRecoveryWait({ clock, random: Math.random, isRecovering: streamScheduler.isRecovering })
         : undefined;
-    const admission = createStreamAdmission(streamScheduler, dependencies, recoveryWait);
+    const admission = createStreamAdmission(streamScheduler, dependencies, { urgencyShares, recoveryWait });
     const runStream = createStreamTask(streamScheduler, admission, dependencies);
     const runUnary = createUnaryTask(unaryScheduler, responseTimes, dependencies);
     const buffering = startBuffering(platform, config, { clock, log, metrics, random: Math.random, signal });
@@ -234,7 +236,7 @@
         ownStatusFields: () => ({
             incarnation,
             running: runningByUpstream(),
-            demand: {},
+            demand: urgencyShares.demand.all(),
             work: {},
             limits: Object.fromEntries(streamScheduler.groups().map(({ group, limit }) => [group, limit])),
             store: storeMonitor.readStatus(),
