Place requests by expected cost where a service's answers vary

Requests that look alike cause very different amounts of work, and placement counted them alike. An entry now estimates a request's cost from the caller's estimate, corrected by what was seen of its route and account, keeps the outstanding work of its upstreams, and tells it to the others in its status. Among the ranks of the chosen group a stream goes where reading and writing lengthen the passes least, and only where the engine's token memory holds it; plain requests go by expected work in place of their number. Without the setting no random number is drawn differently.

--- a/src/coordination/ingress/chooseByFreePlaces.ts
+++ b/src/coordination/ingress/chooseByFreePlaces.ts
@@ -20,6 +20,8 @@
 const fewUnseenStarts = 1;
 /** Two random candidates are enough to avoid the most loaded ones. */
 const minimumSample = 2;
+/** With costs, more candidates are compared: few of them have a long prompt to read, and it must not be missed. */
+const minimumCostSample = 3;
 
 /** The candidate with the most free places, any of those with equally many; undefined if all are full. */
 const mostFree = <Candidate>(
@@ -80,3 +82,41 @@
     );
     return mostFree(sample, options) ?? weightedByFreePlaces(candidates, options);
 };
+
+export type CostChoiceOptions<Candidate> = ChoiceOptions<Candidate> & {
+    /** How much the stream lengthens the group's passes if it goes there. */
+    lengthening: (candidate: Candidate) => number;
+    /** Decides between candidates of the same lengthening: the less, the better. */
+    remaining: (candidate: Candidate) => number;
+};
+
+/** Lengthenings that differ by less are equal to a stream: rounding of counts that passed through a message. */
+const equalMilliseconds = 0.5;
+
+/** Of a sample as in `chooseRank`, the candidate whose group's passes are lengthened least; undefined if all are full. */
+export const chooseRankByCost = <Candidate>(
+    candidates: readonly Candidate[],
+    options: CostChoiceOptions<Candidate>,
+): Candidate | undefined => {
+    const { unseenStarts, random, freePlaces, lengthening, remaining } = options;
+    const sampleSize = Math.min(
+        candidates.length,
+        Math.max(minimumCostSample, Math.round(candidates.length / (1 + unseenStarts))),
+    );
+    let best: { candidate: Candidate; lengthening: number; remaining: number; } | undefined;
+    for (let drawn = 0; drawn < sampleSize; drawn += 1) {
+        const candidate = candidates[Math.floor(random() * candidates.length)] as Candidate;
+        if (freePlaces(candidate) <= 0) {
+            continue;
+        }
+        const one = { candidate, lengthening: lengthening(candidate), remaining: remaining(candidate) };
+        const difference = one.lengthening - (best?.lengthening ?? Infinity);
+        if (
+            difference < -equalMilliseconds
+            || difference < equalMilliseconds && one.remaining < (best?.remaining ?? 0)
+        ) {
+            best = one;
+        }
+    }
+    return best?.candidate ?? weightedByFreePlaces(candidates, options);
+};
--- a/src/coordination/ingress/peerStatusTable.ts
+++ b/src/coordination/ingress/peerStatusTable.ts
@@ -32,6 +32,12 @@
     heldTokens: number;
 };
 
+/** Work of several entries on one upstream. */
+export type PeerWork = OutstandingWork & {
+    /** Requests there of entries that tell no work for this upstream. */
+    unestimated: number;
+};
+
 /** What one entry reports about itself. */
 export type EntryStatus = {
     host: string;
@@ -69,6 +75,8 @@
     record: (status: EntryStatus, sender: string) => void;
     /** Number of requests that the other entries run on an upstream. */
     runningOn: (id: string) => number;
+    /** Work that the other entries have on an upstream. */
+    workOn: (id: string) => PeerWork;
     /** Sum of the ages of the other entries' counts: how much time of one entry the counts don't show. */
     countAgeSeconds: () => number;
     /** Mean of the other entries' concurrency limits for a group; undefined if none has one. */
@@ -94,11 +102,14 @@
 
 const millisecondsPerSecond = 1_000;
 
+const noWork: PeerWork = { promptTokens: 0, remaining: 0, heldTokens: 0, unestimated: 0 };
+
 type ReceivedStatus = { status: EntryStatus; receivedAt: number; };
 
 export const createPeerStatusTable = (clock: Pick<Clock, "now">, log: IngressLog): PeerStatusTable => {
     const received = new Map<string, ReceivedStatus>();
     let runningByUpstream = new Map<string, number>();
+    let workByUpstream = new Map<string, PeerWork>();
     let totalsComputedAt = -Infinity;
     let countAgeSeconds = 0;
     let otherZonesReceivedAt: number | undefined;
@@ -119,9 +130,22 @@
         return [...received.values()];
     };
 
+    const addWork = (id: string, work: OutstandingWork | undefined, requests: number): void => {
+        const total = workByUpstream.get(id) ?? { ...noWork };
+        workByUpstream.set(id, total);
+        if (work === undefined) {
+            total.unestimated += requests;
+            return;
+        }
+        total.promptTokens += work.promptTokens;
+        total.remaining += work.remaining;
+        total.heldTokens += work.heldTokens;
+    };
+
     const currentTotals = (): Map<string, number> => {
         if (clock.now() - totalsComputedAt >= totalsMaximumAgeMilliseconds) {
             runningByUpstream = new Map();
+            workByUpstream = new Map();
             totalsComputedAt = clock.now();
             const fresh = freshStatuses();
             countAgeSeconds = fresh.reduce((total, { receivedAt }) => total + clock.now() - receivedAt, 0)
@@ -129,6 +153,7 @@
             for (const { status } of fresh) {
                 for (const [id, count] of Object.entries(status.running)) {
                     runningByUpstream.set(id, (runningByUpstream.get(id) ?? 0) + count);
+                    addWork(id, status.work[id], count);
                 }
             }
         }
@@ -160,6 +185,10 @@
             return otherZonesReceivedAt !== undefined && clock.now() - otherZonesReceivedAt > zoneIsolationMilliseconds;
         },
         runningOn: id => currentTotals().get(id) ?? 0,
+        workOn: id => {
+            currentTotals();
+            return workByUpstream.get(id) ?? noWork;
+        },
         countAgeSeconds: () => {
             currentTotals();
             return countAgeSeconds;
--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -10,7 +10,9 @@
 import type { CrashEvidenceTable } from "./crashEvidenceTable.js";
 import type { CrashObserver } from "./crashObserver.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { RequestCosts } from "./requestCosts.js";
 import type { RequestTraits } from "./requestTraits.js";
+import type { StreamCost } from "./streamCost.js";
 import type { FailedAttempt, SendToUpstream } from "./upstreamAttempt.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import type { UpstreamLimits } from "./upstreamLimits.js";
@@ -34,6 +36,8 @@
     service: string;
     clientAccount: string | undefined;
     priority: number;
+    /** Undefined unless it is a stream whose service is routed by cost. */
+    cost?: StreamCost | undefined;
     arrivedAt: number;
     /** When the caller stops waiting, on the monotonic clock. */
     callerDeadlineAt: number;
@@ -60,6 +64,8 @@
     crashEvidence: Pick<CrashEvidenceTable, "holdOf" | "isNearHold">;
     upstreamLimits: Pick<UpstreamLimits, "take">;
     random: () => number;
+    /** Undefined if no service is routed by cost. */
+    requestCosts?: Omit<RequestCosts, "describe"> | undefined;
 };
 
 /** The attempts of one request so far. */
--- a/src/coordination/ingress/responseTimes.ts
+++ b/src/coordination/ingress/responseTimes.ts
@@ -9,7 +9,8 @@
 import { keyOfRun, type UpstreamRun } from "./upstreamRun.js";
 
 export type ResponseTimes = {
-    record: (upstream: UpstreamRun, milliseconds: number) => void;
+    /** `relativeCost`: expected work of the request, as a multiple of that of the mean request. */
+    record: (upstream: UpstreamRun, milliseconds: number, relativeCost?: number) => void;
     /** A plausible response time of each of these upstreams, which serve alike; in their order. */
     estimate: (upstreams: readonly UpstreamRun[]) => number[];
 };
@@ -51,12 +52,12 @@
     };
 
     return {
-        record: (upstream, milliseconds) => {
+        record: (upstream, milliseconds, relativeCost = 1) => {
             responses += 1;
             const { total, weight, at } = observedOf(upstream);
             const key = keyOfRun(upstream);
             observedByRun.delete(key);
-            observedByRun.set(key, { total: total + milliseconds, weight: weight + 1, at, responses });
+            observedByRun.set(key, { total: total + milliseconds, weight: weight + relativeCost, at, responses });
             const [oldest] = observedByRun.keys();
             if (observedByRun.size > maximumRuns && oldest !== undefined) {
                 observedByRun.delete(oldest);
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -110,9 +110,11 @@
 
     /** Waits for a place; it may be on an upstream that is at the limit on requests that it states. */
     const waitForPlace = async (
-        { service, route, envelope, clientAccount, priority, arrivedAt, responseDueAt, traits, signal }: RequestContext,
+        context: RequestContext,
         prefersUnlimited: boolean,
     ): Promise<Result<StreamReservation, AdmissionRefusal>> => {
+        const { service, route, envelope, clientAccount, priority, cost, arrivedAt, responseDueAt, traits, signal } =
+            context;
         const queue = queueOf(service);
         const startDeadline = startDeadlineOf({ route, arrivedAt, responseDueAt });
         const entered = await queue.submit<Result<StreamReservation, AdmissionRefusal>>({
@@ -128,6 +130,7 @@
                 const reservation = scheduler.reserve(service, noneExcluded, {
                     admissionClass: "new",
                     prefersUnlimited,
+                    cost,
                 });
                 if (reservation !== undefined) {
                     return { kind: "done", value: ok(reservation) };
--- a/src/coordination/ingress/streamScheduler.ts
+++ b/src/coordination/ingress/streamScheduler.ts
@@ -4,14 +4,16 @@
  * Stream counts include those of all entries. A group below its concurrency limit is chosen, and then one of its ranks,
  * by their free places (see `chooseByFreePlaces.ts`).
  */
-import type { GroupMembership } from "../../state/ingressTypes.js";
+import type { EngineProfile, GroupMembership } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
-import { chooseGroup, chooseRank } from "./chooseByFreePlaces.js";
+import { chooseGroup, chooseRank, chooseRankByCost } from "./chooseByFreePlaces.js";
 import type { DeploymentState, KnownUpstream } from "./deploymentState.js";
 import { createGroupConcurrencyLimit, type GroupConcurrencyLimit } from "./groupConcurrencyLimit.js";
 import { createGroupStallDetector, type GroupProgress, type GroupStallDetector } from "./groupStallDetector.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { OutstandingWorkTable } from "./outstandingWork.js";
 import type { PeerStatusTable } from "./peerStatusTable.js";
+import { type RankLoad, rankLoad } from "./rankLoad.js";
 import type { StreamCost } from "./streamCost.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import { type LimitState, limitStateOf, type UpstreamLimits } from "./upstreamLimits.js";
@@ -47,7 +49,11 @@
     /** Reserves capacity on an upstream not in `excluded`; undefined while none is available to this request. */
     reserve: (service: string, excluded: ReadonlySet<string>, request: PlaceRequest) => StreamReservation | undefined;
     /** Reserves capacity for a stream of `upstream` on another one, of another group if they are in groups. */
-    reserveElsewhere: (upstream: KnownUpstream, excluded: ReadonlySet<string>) => StreamReservation | undefined;
+    reserveElsewhere: (
+        upstream: KnownUpstream,
+        excluded: ReadonlySet<string>,
+        cost?: StreamCost,
+    ) => StreamReservation | undefined;
     /** This entry's streams by upstream id. */
     running: () => ReadonlyMap<string, number>;
     /** For each group its concurrency limit, and the running streams of this entry and of all entries. */
@@ -74,6 +80,8 @@
     log: IngressLog;
     random: () => number;
     signal: AbortSignal;
+    /** Undefined if no service is routed by cost. */
+    costRouting?: { work: OutstandingWorkTable; profileOf: (service: string) => EngineProfile | undefined; };
 };
 
 /** Share of the group's slots that is used as its limit until pauses between events are observed. */
@@ -105,6 +113,7 @@
 
 export const createStreamScheduler = (options: StreamSchedulerOptions): StreamScheduler => {
     const { state, health, pauses, upstreamLimits, clock, peerStatuses, queryEngine, log, random, signal } = options;
+    const { costRouting } = options;
     const concurrencyLimits = new Map<string, GroupConcurrencyLimit>();
     const stallDetectors = new Map<string, GroupStallDetector>();
     const runningByUpstream = new Map<string, number>();
@@ -190,20 +199,46 @@
             .filter(({ freePlaces }) => freePlaces > 0);
     };
 
+    /** The load of a rank with one more stream; undefined if the service isn't routed by cost. */
+    const loadWith = (
+        cost: StreamCost | undefined,
+        service: string,
+    ): ((rank: KnownUpstream) => RankLoad) | undefined => {
+        const profile = costRouting?.profileOf(service);
+        if (costRouting === undefined || profile === undefined || cost === undefined) {
+            return undefined;
+        }
+        return ({ id }) => {
+            const work = costRouting.work.on(id, runningByUpstream.get(id) ?? 0);
+            return rankLoad(work, streamCountOn(id), cost, profile);
+        };
+    };
+
     const reserveAmong = (
         candidateUpstreams: KnownUpstream[],
-        admissionClass: StreamAdmissionClass,
+        { admissionClass, cost }: PlaceRequest,
     ): StreamReservation | undefined => {
-        const upstreams = candidateUpstreams.filter(upstream => upstreamLimits.millisecondsUntilOpen(upstream) <= 0);
+        const open = candidateUpstreams.filter(upstream => upstreamLimits.millisecondsUntilOpen(upstream) <= 0);
+        const load = loadWith(cost, open[0]?.service ?? "");
+        const upstreams = load === undefined ? open : open.filter(upstream => load(upstream).fitsMemory);
         const unseenStarts = startRate.perSecond() * peerStatuses.countAgeSeconds();
         const candidate = chooseGroup(
             groupsWithCapacity(upstreams, admissionClass),
             { freePlaces: group => group.freePlaces, unseenStarts, random },
         );
-        const upstream = chooseRank(candidate?.ranks ?? [], { freePlaces: freeSlotsOf, unseenStarts, random });
+        const rankChoice = { freePlaces: freeSlotsOf, unseenStarts, random };
+        const upstream = load === undefined
+            ? chooseRank(candidate?.ranks ?? [], rankChoice)
+            : chooseRankByCost(candidate?.ranks ?? [], {
+                ...rankChoice,
+                lengthening: rank => load(rank).lengtheningMilliseconds,
+                remaining: rank => load(rank).remainingTokens,
+            });
         if (candidate === undefined || upstream === undefined) {
             return undefined;
         }
+        const streamWork = cost && costRouting?.work.beginStream(upstream.id, cost);
+        const eventTokens = costRouting?.profileOf(upstream.service)?.stepsPerPass ?? 0;
         startRate.record();
         const { concurrencyLimit } = candidate;
         const stallDetector = stallDetectorOf(candidate.group);
@@ -218,6 +253,7 @@
                     stallDetector.recordStreamStart();
                 }
                 stallDetector.recordEvent();
+                streamWork?.recordEvent(eventTokens);
                 if (pauseMilliseconds !== undefined) {
                     concurrencyLimit.recordPause(pauseMilliseconds, gapTargetMilliseconds);
                 }
@@ -225,6 +261,7 @@
             recordFailure: stallDetector.reportLoss,
             release: () => {
                 concurrencyLimit.release();
+                streamWork?.end();
                 if (hasStarted) {
                     stallDetector.recordStreamEnd();
                 }
@@ -234,16 +271,18 @@
     };
 
     return {
-        reserve: (service, excluded, { admissionClass, prefersUnlimited = false }) => {
+        reserve: (service, excluded, request) => {
             const upstreams = candidates(service, excluded);
-            const unlimited = prefersUnlimited ? upstreams.filter(upstream => !upstreamLimits.isLimited(upstream)) : [];
-            return reserveAmong(unlimited, admissionClass) ?? reserveAmong(upstreams, admissionClass);
+            const unlimited = request.prefersUnlimited === true
+                ? upstreams.filter(upstream => !upstreamLimits.isLimited(upstream))
+                : [];
+            return reserveAmong(unlimited, request) ?? reserveAmong(upstreams, request);
         },
-        reserveElsewhere: (upstream, excluded) => {
+        reserveElsewhere: (upstream, excluded, cost) => {
             const others = candidates(upstream.service, excluded).filter(other =>
                 upstream.group === undefined ? other.id !== upstream.id : groupOf(other) !== groupOf(upstream)
             );
-            return reserveAmong(others, "new");
+            return reserveAmong(others, { admissionClass: "new", cost });
         },
         running: () => runningByUpstream,
         groups: () =>
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -7,7 +7,7 @@
  * upstream's response.
  */
 import type { ObservedAttempt } from "./crashObserver.js";
-import { createEventSplitter, maximumEventBytes, type StreamEvent } from "./eventSplitter.js";
+import { createEventSplitter, maximumEventBytes } from "./eventSplitter.js";
 import {
     type AttemptHistory,
     createAttemptHistory,
@@ -19,6 +19,7 @@
 } from "./requestContext.js";
 import { suspectTraits } from "./requestTraits.js";
 import type { StreamAdmission } from "./streamAdmission.js";
+import { isNewer, type StreamProgress } from "./streamProgress.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
 import {
     type AttemptTimeouts,
@@ -48,26 +49,13 @@
     | { kind: "other"; response: UpstreamResponse; }
     | FailedAttempt;
 
-/** Progress of the caller's stream over all attempts. */
-type StreamProgress = {
-    lastEventId: string | undefined;
-    events: number;
-    firstEventAt: number | undefined;
-    lastEventAt: number | undefined;
-    /** Includes pauses between two attempts, while the stream was resumed. */
-    longestPauseMilliseconds: number;
-};
-
-/** Whether the event follows the last one that the caller has received; ids are increasing integers. */
-const isNewer = ({ id }: StreamEvent, { lastEventId }: StreamProgress): boolean =>
-    lastEventId === undefined || id === undefined || Number(id) > Number(lastEventId);
-
 export const createStreamTask = (
     scheduler: StreamScheduler,
     admission: StreamAdmission,
     dependencies: RequestDependencies,
 ) => {
-    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits } = dependencies;
+    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits, requestCosts } =
+        dependencies;
 
     const readFullBody = createBodyReader();
 
@@ -214,7 +202,10 @@
     ): Promise<StreamReservation | undefined> => {
         const resumeBy = (progress.lastEventAt ?? context.arrivedAt) + resumeWindowMilliseconds;
         for (;;) {
-            const reservation = scheduler.reserve(context.service, attempts.excluded, { admissionClass: "admitted" });
+            const reservation = scheduler.reserve(context.service, attempts.excluded, {
+                admissionClass: "admitted",
+                cost: context.cost,
+            });
             if (reservation !== undefined && isHeldBack(context, attempts)) {
                 reservation.release();
                 return undefined;
@@ -239,7 +230,7 @@
      * returns the place there, after it has ended the attempt.
      */
     const moveWhenSilent = async (
-        { envelope, route }: RequestContext,
+        { envelope, route, cost }: RequestContext,
         { upstream }: StreamReservation,
         attempts: AttemptHistory,
         progress: StreamProgress,
@@ -258,7 +249,7 @@
                 await clock.sleep(Math.min(remaining, silenceCheckMilliseconds), attemptEnd.signal);
                 continue;
             }
-            const place = scheduler.reserveElsewhere(upstream, attempts.excluded);
+            const place = scheduler.reserveElsewhere(upstream, attempts.excluded, cost);
             const mayUse = place !== undefined && await upstreamLimits.take(place.upstream, attemptEnd.signal);
             if (!mayUse || attemptEnd.signal.aborted || !retryBudget.takeRetry()) {
                 place?.release();
@@ -280,6 +271,10 @@
     const finish = (context: RequestContext, progress: StreamProgress, attempts: AttemptHistory): void => {
         const durationMilliseconds = clock.now() - context.arrivedAt;
         context.sink.end();
+        // The events of a stream that its caller resumes are only the rest of its answer.
+        if (progress.events > 0 && context.envelope.lastEventId === undefined) {
+            requestCosts?.recordStream(context, progress.events);
+        }
         metrics.observe("ingress_stream", durationMilliseconds);
         log.request(context.envelope.requestId, "answered", {
             events: progress.events,
@@ -319,6 +314,7 @@
                 upstream: upstream.id,
                 afterMilliseconds: Math.round(sentAt - context.arrivedAt),
                 afterEvent: progress.lastEventId,
+                cost: context.cost,
             });
             const observed = crashObserver.begin(upstream, envelope.requestId, context.traits);
             const attemptEnd = new AbortController();
--- a/src/coordination/ingress/unaryScheduler.ts
+++ b/src/coordination/ingress/unaryScheduler.ts
@@ -7,9 +7,14 @@
  * lately (see `responseTimes.ts`), scaled by the upstream's outstanding requests from all entries relative to its slots.
  * An upstream in another availability zone has a fixed cost added. Ejected upstreams are skipped while any other is
  * usable.
+ *
+ * Where requests are routed by cost, the expected work of the request and of those outstanding takes the place of their
+ * number, in units of the mean request of the service.
  */
 import type { RandomNumber } from "../../state/types.js";
 import type { DeploymentState, KnownUpstream } from "./deploymentState.js";
+import type { OutstandingWorkTable } from "./outstandingWork.js";
+import type { UnaryCost } from "./requestCosts.js";
 import type { ResponseTimes } from "./responseTimes.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import { type LimitState, limitStateOf, type UpstreamLimits } from "./upstreamLimits.js";
@@ -26,6 +31,7 @@
         service: string,
         excluded: ReadonlySet<string>,
         prefersUnlimited?: boolean,
+        cost?: UnaryCost,
     ) => UnaryReservation | undefined;
     running: () => ReadonlyMap<string, number>;
     /** Time until the first upstream takes work again, if all usable ones have asked for a pause; else undefined. */
@@ -44,32 +50,53 @@
     /** Number of requests that the other entries run on an upstream. */
     runningOnOtherEntries: (id: string) => number;
     random: RandomNumber;
+    /** Undefined if no service is routed by cost. */
+    work?: OutstandingWorkTable;
 };
 
 /** Covers the round trip to another zone and the price of the bytes sent there. */
 const crossZoneCostMilliseconds = 5;
 
+type Candidate = { upstream: KnownUpstream; expected: number; };
+
 export const createUnaryScheduler = (options: UnarySchedulerOptions): UnaryScheduler => {
-    const { state, health, responseTimes, pauses, upstreamLimits, availabilityZone, runningOnOtherEntries, random } =
-        options;
+    const {
+        state,
+        health,
+        responseTimes,
+        pauses,
+        upstreamLimits,
+        availabilityZone,
+        runningOnOtherEntries,
+        random,
+        work,
+    } = options;
     const running = new Map<string, number>();
 
-    const withLoad = (upstream: KnownUpstream, responseMilliseconds: number): number => {
-        const outstanding = (running.get(upstream.id) ?? 0) + runningOnOtherEntries(upstream.id);
+    const withLoad = (upstream: KnownUpstream, responseMilliseconds: number, cost: UnaryCost | undefined): number => {
+        const own = running.get(upstream.id) ?? 0;
         const zoneCostMilliseconds = upstream.availabilityZone === availabilityZone ? 0 : crossZoneCostMilliseconds;
-        return responseMilliseconds * (1 + outstanding / Math.max(1, upstream.slots)) + zoneCostMilliseconds;
+        const slots = Math.max(1, upstream.slots);
+        if (cost === undefined || work === undefined) {
+            const outstanding = own + runningOnOtherEntries(upstream.id);
+            return responseMilliseconds * (1 + outstanding / slots) + zoneCostMilliseconds;
+        }
+        const { remaining, unestimated } = work.on(upstream.id, own);
+        const outstanding = remaining / cost.meanMilliseconds + unestimated;
+        const request = cost.workMilliseconds / cost.meanMilliseconds;
+        return responseMilliseconds * (request + outstanding / slots) + zoneCostMilliseconds;
     };
 
-    const choose = (upstreams: KnownUpstream[]): KnownUpstream | undefined => {
+    const choose = (upstreams: KnownUpstream[], cost: UnaryCost | undefined): Candidate | undefined => {
         const estimates = responseTimes.estimate(upstreams);
-        const candidates = upstreams.map((upstream, index) => ({
-            upstream,
-            expected: withLoad(upstream, estimates[index] ?? 0),
-        }));
-        const draw = () => candidates.splice(Math.floor(random() * candidates.length), 1)[0];
+        const candidates = upstreams.map((upstream, index) => ({ upstream, estimate: estimates[index] ?? 0 }));
+        const draw = (): Candidate | undefined => {
+            const [drawn] = candidates.splice(Math.floor(random() * candidates.length), 1);
+            return drawn && { upstream: drawn.upstream, expected: withLoad(drawn.upstream, drawn.estimate, cost) };
+        };
         const first = draw();
         const second = draw();
-        return second !== undefined && second.expected < (first?.expected ?? 0) ? second.upstream : first?.upstream;
+        return second !== undefined && second.expected < (first?.expected ?? 0) ? second : first;
     };
 
     const candidates = (service: string, excluded: ReadonlySet<string>): KnownUpstream[] => {
@@ -81,20 +108,25 @@
     };
 
     return {
-        reserve: (service, excluded, prefersUnlimited = false) => {
+        reserve: (service, excluded, prefersUnlimited = false, cost) => {
             const open = candidates(service, excluded).filter(upstream =>
                 upstreamLimits.millisecondsUntilOpen(upstream) <= 0
             );
             const unlimited = prefersUnlimited ? open.filter(upstream => !upstreamLimits.isLimited(upstream)) : [];
-            const upstream = choose(unlimited.length > 0 ? unlimited : open);
-            if (upstream === undefined) {
+            const chosen = choose(unlimited.length > 0 ? unlimited : open, cost);
+            if (chosen === undefined) {
                 return undefined;
             }
+            const { upstream, expected } = chosen;
             const { id } = upstream;
+            const endWork = cost && work?.beginUnary(id, cost.workMilliseconds, expected);
             running.set(id, (running.get(id) ?? 0) + 1);
             return {
                 upstream,
-                release: () => void running.set(id, (running.get(id) ?? 1) - 1),
+                release: () => {
+                    running.set(id, (running.get(id) ?? 1) - 1);
+                    endWork?.();
+                },
             };
         },
         running: () => running,
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -16,6 +16,7 @@
     type RequestContext,
     type RequestDependencies,
 } from "./requestContext.js";
+import type { UnaryCost } from "./requestCosts.js";
 import { suspectTraits } from "./requestTraits.js";
 import type { ResponseTimes } from "./responseTimes.js";
 import type { UnaryReservation, UnaryScheduler } from "./unaryScheduler.js";
@@ -68,8 +69,18 @@
     responseTimes: Pick<ResponseTimes, "record">,
     dependencies: RequestDependencies,
 ) => {
-    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits, random } =
-        dependencies;
+    const {
+        clock,
+        log,
+        metrics,
+        health,
+        retryBudget,
+        crashObserver,
+        crashEvidence,
+        upstreamLimits,
+        requestCosts,
+        random,
+    } = dependencies;
 
     const readFullBody = createBodyReader();
 
@@ -132,11 +143,12 @@
     const reserve = async (
         { service, route, arrivedAt, signal }: RequestContext,
         { excluded }: AttemptHistory,
+        cost: UnaryCost | undefined,
     ): Promise<Result<UnaryReservation, "none" | "limited">> => {
         const waitUntil = arrivedAt + route.objectiveMilliseconds * waitingShareOfObjective;
         let denied = 0;
         while (!signal.aborted) {
-            const reservation = scheduler.reserve(service, excluded, denied >= deniedUntilUnlimited);
+            const reservation = scheduler.reserve(service, excluded, denied >= deniedUntilUnlimited, cost);
             if (reservation !== undefined && await upstreamLimits.take(reservation.upstream, signal)) {
                 return ok(reservation);
             }
@@ -164,8 +176,9 @@
         const isHeldBack = (): boolean => crashEvidence.holdOf(traits, attempts.mayHaveRun) !== undefined;
         retryBudget.recordRequest();
         let isLimited = false;
+        const cost = requestCosts?.unaryCost(context);
         while (!signal.aborted && !isHeldBack() && attempts.reached.size < route.attempts) {
-            const reservation = await reserve(context, attempts);
+            const reservation = await reserve(context, attempts, cost);
             if (reservation.isErr()) {
                 isLimited = reservation.error === "limited";
                 break;
@@ -190,7 +203,12 @@
             }
             if (result.kind === "final") {
                 health.recordSuccess(upstream.id);
-                responseTimes.record(upstream, durationMilliseconds);
+                responseTimes.record(
+                    upstream,
+                    durationMilliseconds,
+                    cost && cost.workMilliseconds / cost.meanMilliseconds,
+                );
+                requestCosts?.recordUnary(context, durationMilliseconds);
                 deliver(context, upstream.id, result.response, result.body);
                 return;
             }
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
+import { createCostRouting } from "../../coordination/ingress/costRouting.js";
 import { startCrashEvidenceSync } from "../../coordination/ingress/crashEvidenceSync.js";
 import { createCrashEvidenceTable } from "../../coordination/ingress/crashEvidenceTable.js";
 import { createCrashObserver } from "../../coordination/ingress/crashObserver.js";
@@ -151,6 +152,9 @@
         metrics,
         signal,
     });
+    const minimumVariation = config.costRouting?.minimumVariation;
+    const costRouting = createCostRouting({ minimumVariation, state, peerStatuses, clock, log, metrics });
+    const { work, costs: requestCosts } = costRouting;
     const dependencies: RequestDependencies = {
         clock,
         log,
@@ -161,6 +165,7 @@
         crashEvidence,
         upstreamLimits,
         random: Math.random,
+        requestCosts,
     };
     const streamScheduler = createStreamScheduler({
         state,
@@ -174,6 +179,7 @@
         log,
         random: Math.random,
         signal,
+        costRouting,
     });
     const responseTimes = createResponseTimes(clock, Math.random);
     const unaryScheduler = createUnaryScheduler({
@@ -185,6 +191,7 @@
         availabilityZone: config.availabilityZone,
         runningOnOtherEntries: peerStatuses.runningOn,
         random: Math.random,
+        work,
     });
     const admission = createStreamAdmission(streamScheduler, dependencies);
     const runStream = createStreamTask(streamScheduler, admission, dependencies);
@@ -236,7 +243,7 @@
             incarnation,
             running: runningByUpstream(),
             demand: {},
-            work: {},
+            work: work.own(),
             limits: Object.fromEntries(streamScheduler.groups().map(({ group, limit }) => [group, limit])),
             store: storeMonitor.readStatus(),
             isServed: sharedRecords.isServed(),
@@ -290,6 +297,7 @@
             signal: boundedSignal.signal,
             callerGone,
         };
+        context.cost = route.kind === "streaming" ? requestCosts.streamCost(context) : undefined;
         metrics.count(`ingress_requests_total{kind="${route.kind}"}`);
         await (route.kind === "streaming" ? runStream : runUnary)(context);
         boundedSignal.dispose();
@@ -343,6 +351,8 @@
         evacuatedZones: state.evacuatedZones(),
         upstreams: state.all(),
         groups: streamScheduler.groups(),
+        costs: requestCosts.describe(),
+        work: work.own(),
         heldBack: crashEvidence.holds(),
         statedLimits: upstreamLimits.stated.limits(),
     });
--- a/tests/support/unaryLoadModel.ts
+++ b/tests/support/unaryLoadModel.ts
@@ -7,12 +7,16 @@
  */
 import type { KnownUpstream } from "../../src/coordination/ingress/deploymentState.js";
 import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
+import { createOutstandingWork } from "../../src/coordination/ingress/outstandingWork.js";
+import { type CostSubject, createRequestCosts } from "../../src/coordination/ingress/requestCosts.js";
 import { createResponseTimes } from "../../src/coordination/ingress/responseTimes.js";
 import { createUnaryScheduler, type UnaryScheduler } from "../../src/coordination/ingress/unaryScheduler.js";
 import { createUpstreamHealth } from "../../src/coordination/ingress/upstreamHealth.js";
 import { createUpstreamPauses } from "../../src/coordination/ingress/upstreamPauses.js";
+import { createMetrics } from "../../src/coordination/metrics.js";
 import { noUpstreamLimits } from "./noUpstreamLimits.js";
 import { seededRandom } from "./random.js";
+import { toldWork } from "./toldWork.js";
 import { listedUpstream } from "./upstreams.js";
 
 export type UnaryLoad = {
@@ -23,6 +27,12 @@
     /** Interval at which an entry tells the others its counts. */
     tellMilliseconds: number;
     seed?: number;
+    /** Routes by their share of the requests and their work relative to the mean; one route if not given. */
+    routes?: { share: number; work: number; }[];
+    /** Undefined: not routed by cost. */
+    minimumVariation?: number;
+    /** Share of the entries that tell no work, as those of earlier builds. */
+    silentShare?: number;
 };
 
 export type UnaryLoadModel = {
@@ -36,6 +46,8 @@
     comeBack: (server: number) => void;
     /** Number of requests that arrived at each server since the last call. */
     takeArrivals: () => number[];
+    /** Times from request to answer since the last call. */
+    takeAnswerTimes: () => number[];
     /** Mean time that requests waited for a slot since the last call. */
     takeMeanWait: () => number;
     now: () => number;
@@ -54,7 +66,12 @@
     slotsFreeAt: number[];
 };
 
-type Entry = { scheduler: UnaryScheduler; recordAnswer: (upstream: KnownUpstream, milliseconds: number) => void; };
+type Entry = {
+    scheduler: UnaryScheduler;
+    responseTimes: ReturnType<typeof createResponseTimes>;
+    costs: ReturnType<typeof createRequestCosts>;
+    work: ReturnType<typeof createOutstandingWork>;
+};
 
 export const startUnaryLoadModel = (load: UnaryLoad): UnaryLoadModel => {
     const random = seededRandom(load.seed ?? 1);
@@ -75,10 +92,14 @@
         factor: 1,
         slotsFreeAt: Array<number>(slotsPerServer).fill(0),
     }));
-    const told: Map<string, number>[] = [...Array(load.entries).keys()].map(() => new Map());
-    const toldTotals = new Map<string, number>();
+    const told = toldWork(load.entries);
+    const routes = load.routes ?? [{ share: 1, work: 1 }];
+    const { minimumVariation } = load;
+    const metrics = createMetrics();
     const entries: Entry[] = [...Array(load.entries).keys()].map(index => {
         const responseTimes = createResponseTimes(clock, random);
+        const work = createOutstandingWork(clock, id => told.workOn(index, id));
+        const costs = createRequestCosts({ minimumVariation, profileOf: () => undefined, clock, log, metrics });
         const scheduler = createUnaryScheduler({
             state: { usable: () => servers.filter(({ isListed }) => isListed).map(({ upstream }) => upstream) },
             health: createUpstreamHealth(clock, log),
@@ -86,26 +107,38 @@
             pauses: createUpstreamPauses(clock, log),
             upstreamLimits: noUpstreamLimits,
             availabilityZone: zones[index % zones.length] as string,
-            runningOnOtherEntries: id => (toldTotals.get(id) ?? 0) - (told[index]?.get(id) ?? 0),
+            runningOnOtherEntries: id => told.runningOn(index, id),
             random,
+            work,
         });
-        return { scheduler, recordAnswer: responseTimes.record };
+        return { scheduler, responseTimes, costs, work };
     });
 
     const tell = (index: number): void => {
-        const running = entries[index]?.scheduler.running() ?? new Map<string, number>();
-        for (const [id, count] of running) {
-            toldTotals.set(id, (toldTotals.get(id) ?? 0) + count - (told[index]?.get(id) ?? 0));
-        }
-        told[index] = new Map(running);
+        const { scheduler, work } = entries[index] as Entry;
+        told.tell(index, scheduler.running(), index < load.entries * (load.silentShare ?? 0) ? {} : work.own());
     };
 
     const arrivals = servers.map(() => 0);
     let waits: number[] = [];
+    const answerTimes: number[] = [];
     const answers: { at: number; receive: () => void; }[] = [];
 
-    const request = (entry: Entry): void => {
-        const reservation = entry.scheduler.reserve("plain", new Set());
+    const drawRoute = (): number => {
+        let remaining = routes.length > 1 ? random() : 0;
+        return Math.max(0, routes.findIndex(({ share }) => (remaining -= share) < 0));
+    };
+
+    const request = ({ scheduler, responseTimes, costs }: Entry): void => {
+        const route = drawRoute();
+        const subject: CostSubject = {
+            service: "plain",
+            route: { name: `route-${route}` },
+            clientAccount: "a",
+            envelope: { promptTokens: 0, maximumAnswerTokens: 0, expectedAnswerTokens: undefined },
+        };
+        const cost = costs.unaryCost(subject);
+        const reservation = scheduler.reserve("plain", new Set(), false, cost);
         const index = servers.findIndex(({ upstream }) => upstream === reservation?.upstream);
         const server = servers[index];
         if (reservation === undefined || server === undefined) {
@@ -115,7 +148,8 @@
         const firstFree = server.slotsFreeAt.indexOf(Math.min(...server.slotsFreeAt));
         const arrivesAt = now + networkMilliseconds;
         const startsAt = Math.max(arrivesAt, server.slotsFreeAt[firstFree] ?? 0);
-        const endsAt = startsAt + meanWorkMilliseconds * (0.5 + random()) * server.factor;
+        const endsAt = startsAt + meanWorkMilliseconds * (0.5 + random()) * server.factor
+                * (routes[route]?.work ?? 1);
         server.slotsFreeAt[firstFree] = endsAt;
         waits.push(startsAt - arrivesAt);
         const sentAt = now;
@@ -123,7 +157,13 @@
             at: Math.ceil(endsAt + networkMilliseconds),
             receive: () => {
                 reservation.release();
-                entry.recordAnswer(reservation.upstream, now - sentAt);
+                responseTimes.record(
+                    reservation.upstream,
+                    now - sentAt,
+                    cost && cost.workMilliseconds / cost.meanMilliseconds,
+                );
+                costs.recordUnary(subject, now - sentAt);
+                answerTimes.push(now - sentAt);
             },
         });
     };
@@ -160,6 +200,7 @@
             server.isListed = true;
         },
         takeArrivals: () => arrivals.splice(0, arrivals.length, ...servers.map(() => 0)),
+        takeAnswerTimes: () => answerTimes.splice(0),
         takeMeanWait: () => {
             const mean = waits.reduce((total, wait) => total + wait, 0) / Math.max(1, waits.length);
             waits = [];
