--- a/src/coordination/ingress/chooseByFreePlaces.ts
+++ b/src/coordination/ingress/chooseByFreePlaces.ts
@@ -20,8 +20,6 @@
 const fewUnseenStarts = 1;
 /** Two random candidates are enough to avoid the most loaded ones. */
 const minimumSample = 2;
-/** With costs, more candidates are compared: few of them have a long prompt to read, and it must not be missed. */
-const minimumCostSample = 3;
 
 /** The candidate with the most free places, any of those with equally many; undefined if all are full. */
 const mostFree = <Candidate>(
@@ -66,6 +64,9 @@
 ): Candidate | undefined =>
     (options.unseenStarts < fewUnseenStarts ? mostFree : weightedByFreePlaces)(candidates, options);
 
+const sampleSizeOf = (candidates: number, unseenStarts: number): number =>
+    Math.max(minimumSample, Math.round(candidates / (1 + unseenStarts)));
+
 /** For many candidates with few places each: the best of a sample that is the smaller, the more streams are unseen. */
 export const chooseRank = <Candidate>(
     candidates: readonly Candidate[],
@@ -75,7 +76,7 @@
     if (unseenStarts < fewUnseenStarts) {
         return mostFree(candidates, options);
     }
-    const sampleSize = Math.max(minimumSample, Math.round(candidates.length / (1 + unseenStarts)));
+    const sampleSize = sampleSizeOf(candidates.length, unseenStarts);
     const sample = Array.from(
         { length: Math.min(sampleSize, candidates.length) },
         () => candidates[Math.floor(random() * candidates.length)] as Candidate,
@@ -93,16 +94,16 @@
 /** Lengthenings that differ by less are equal to a stream: rounding of counts that passed through a message. */
 const equalMilliseconds = 0.5;
 
-/** Of a sample as in `chooseRank`, the candidate whose group's passes are lengthened least; undefined if all are full. */
+/**
+ * Of a sample as large as that of `chooseRank`, the candidate whose group's passes are lengthened least; undefined if all
+ * are full. With 44 and 58 entries, samples of at least three made more first events late than those of two.
+ */
 export const chooseRankByCost = <Candidate>(
     candidates: readonly Candidate[],
     options: CostChoiceOptions<Candidate>,
 ): Candidate | undefined => {
     const { unseenStarts, random, freePlaces, lengthening, remaining } = options;
-    const sampleSize = Math.min(
-        candidates.length,
-        Math.max(minimumCostSample, Math.round(candidates.length / (1 + unseenStarts))),
-    );
+    const sampleSize = Math.min(candidates.length, sampleSizeOf(candidates.length, unseenStarts));
     let best: { candidate: Candidate; lengthening: number; remaining: number; } | undefined;
     for (let drawn = 0; drawn < sampleSize; drawn += 1) {
         const candidate = candidates[Math.floor(random() * candidates.length)] as Candidate;
--- a/src/coordination/ingress/rankLoad.ts
+++ b/src/coordination/ingress/rankLoad.ts
@@ -18,8 +18,8 @@
 };
 
 /**
- * Passes over which a stream's part of them counts against reading a prompt once. In the model, 30 sent short prompts
- * behind long ones; 4 and a larger sample filled ranks by prompts and so let streams wait for slots.
+ * Passes over which a stream's part of them counts against reading a prompt once. In the model of streams, 6 and 12
+ * served alike; 25 and more let short prompts wait behind long ones, 4 and fewer let streams wait for slots.
  */
 const passesPerStream = 6;
 const tokensPerThousand = 1_000;
