--- a/src/coordination/ingress/chooseByFreePlaces.ts
+++ b/src/coordination/ingress/chooseByFreePlaces.ts
@@ -64,6 +64,9 @@
 ): Candidate | undefined =>
     (options.unseenStarts < fewUnseenStarts ? mostFree : weightedByFreePlaces)(candidates, options);
 
+const sampleSizeOf = (candidates: number, unseenStarts: number): number =>
+    Math.max(minimumSample, Math.round(candidates / (1 + unseenStarts)));
+
 /** For many candidates with few places each: the best of a sample that is the smaller, the more streams are unseen. */
 export const chooseRank = <Candidate>(
     candidates: readonly Candidate[],
@@ -73,10 +76,48 @@
     if (unseenStarts < fewUnseenStarts) {
         return mostFree(candidates, options);
     }
-    const sampleSize = Math.max(minimumSample, Math.round(candidates.length / (1 + unseenStarts)));
+    const sampleSize = sampleSizeOf(candidates.length, unseenStarts);
     const sample = Array.from(
         { length: Math.min(sampleSize, candidates.length) },
         () => candidates[Math.floor(random() * candidates.length)] as Candidate,
     );
     return mostFree(sample, options) ?? weightedByFreePlaces(candidates, options);
 };
+
+export type CostChoiceOptions<Candidate> = ChoiceOptions<Candidate> & {
+    /** How much the stream lengthens the group's passes if it goes there. */
+    lengthening: (candidate: Candidate) => number;
+    /** Decides between candidates of the same lengthening: the less, the better. */
+    remaining: (candidate: Candidate) => number;
+};
+
+/** Lengthenings that differ by less are equal to a stream: rounding of counts that passed through a message. */
+const equalMilliseconds = 0.5;
+
+/**
+ * Of a sample as large as that of `chooseRank`, the candidate whose group's passes are lengthened least; undefined if all
+ * are full. With 44 and 58 entries, samples of at least three made more first events late than those of two.
+ */
+export const chooseRankByCost = <Candidate>(
+    candidates: readonly Candidate[],
+    options: CostChoiceOptions<Candidate>,
+): Candidate | undefined => {
+    const { unseenStarts, random, freePlaces, lengthening, remaining } = options;
+    const sampleSize = Math.min(candidates.length, sampleSizeOf(candidates.length, unseenStarts));
+    let best: { candidate: Candidate; lengthening: number; remaining: number; } | undefined;
+    for (let drawn = 0; drawn < sampleSize; drawn += 1) {
+        const candidate = candidates[Math.floor(random() * candidates.length)] as Candidate;
+        if (freePlaces(candidate) <= 0) {
+            continue;
+        }
+        const one = { candidate, lengthening: lengthening(candidate), remaining: remaining(candidate) };
+        const difference = one.lengthening - (best?.lengthening ?? Infinity);
+        if (
+            difference < -equalMilliseconds
+            || difference < equalMilliseconds && one.remaining < (best?.remaining ?? 0)
+        ) {
+            best = one;
+        }
+    }
+    return best?.candidate ?? weightedByFreePlaces(candidates, options);
+};
--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -11,7 +11,9 @@
 import type { CrashEvidenceTable } from "./crashEvidenceTable.js";
 import type { CrashObserver } from "./crashObserver.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { RequestCosts } from "./requestCosts.js";
 import type { RequestTraits } from "./requestTraits.js";
+import type { StreamCost } from "./streamCost.js";
 import type { FailedAttempt, SendToUpstream } from "./upstreamAttempt.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import type { UpstreamLimits } from "./upstreamLimits.js";
@@ -44,6 +46,8 @@
     priority: number;
     /** Rank among the streams of its service, 0 for the most urgent; undefined if their routes don't differ in priority. */
     urgency: number | undefined;
+    /** Undefined unless it is a stream whose service is routed by cost. */
+    cost?: StreamCost | undefined;
     arrivedAt: number;
     /** When the caller stops waiting, on the monotonic clock. */
     callerDeadlineAt: number;
@@ -72,6 +76,8 @@
     crashEvidence: Pick<CrashEvidenceTable, "holdOf" | "isNearHold">;
     upstreamLimits: Pick<UpstreamLimits, "take">;
     random: () => number;
+    /** Undefined if no service is routed by cost. */
+    requestCosts?: Omit<RequestCosts, "describe"> | undefined;
 };
 
 /** The attempts of one request so far. */
--- a/src/coordination/ingress/silentStreamMove.ts
+++ b/src/coordination/ingress/silentStreamMove.ts
@@ -2,8 +2,8 @@
  * Moves a stream whose upstream has fallen silent to another group that has room.
  */
 import type { AttemptHistory, RequestContext, RequestDependencies } from "./requestContext.js";
+import type { StreamProgress } from "./streamProgress.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
-import type { StreamProgress } from "./streamTask.js";
 
 /**
  * Silence after which a stream is moved to another group if that has room; otherwise it is left where it is, as it may
@@ -25,7 +25,7 @@
  * silence.
  */
 async (
-    { envelope, route }: RequestContext,
+    { envelope, route, cost }: RequestContext,
     { upstream }: StreamReservation,
     attempts: AttemptHistory,
     progress: StreamProgress,
@@ -45,7 +45,7 @@
             await clock.sleep(Math.min(remaining, silenceCheckMilliseconds), attemptEnd.signal);
             continue;
         }
-        const place = scheduler.reserveElsewhere(upstream, attempts.excluded);
+        const place = scheduler.reserveElsewhere(upstream, attempts.excluded, cost);
         const mayUse = place !== undefined && await upstreamLimits.take(place.upstream, attemptEnd.signal);
         if (!mayUse || attemptEnd.signal.aborted || !retryBudget.takeRetry()) {
             place?.release();
--- a/src/coordination/ingress/streamAdmission.ts
+++ b/src/coordination/ingress/streamAdmission.ts
@@ -135,7 +135,7 @@
         prefersUnlimited: boolean,
         decision: UrgencyDecision | undefined,
     ): Promise<Result<StreamReservation, AdmissionRefusal>> => {
-        const { service, route, envelope, clientAccount, arrivedAt, responseDueAt, traits, signal } = context;
+        const { service, route, envelope, clientAccount, cost, arrivedAt, responseDueAt, traits, signal } = context;
         const queue = queueOf(service);
         const startDeadline = startDeadlineOf({ route, arrivedAt, responseDueAt });
         const entered = await queue.submit<Result<StreamReservation, AdmissionRefusal>>({
@@ -154,6 +154,7 @@
                     ...decision === undefined
                         ? {}
                         : { heldBackPlaces: sharesFor(context)?.heldBackPlaces() ?? 0 },
+                    cost,
                 });
                 if (reservation !== undefined) {
                     return { kind: "done", value: ok(reservation) };
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -8,7 +8,7 @@
  */
 import { createCallerPace } from "./callerPace.js";
 import type { ObservedAttempt } from "./crashObserver.js";
-import { createEventSplitter, maximumEventBytes, type StreamEvent } from "./eventSplitter.js";
+import { createEventSplitter, maximumEventBytes } from "./eventSplitter.js";
 import {
     type AttemptHistory,
     createAttemptHistory,
@@ -21,6 +21,7 @@
 import { suspectTraits } from "./requestTraits.js";
 import { createSilentStreamMove, resumeWindowMilliseconds } from "./silentStreamMove.js";
 import type { StreamAdmission } from "./streamAdmission.js";
+import { isNewer, type StreamProgress } from "./streamProgress.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
 import {
     type AttemptTimeouts,
@@ -41,28 +42,13 @@
     | { kind: "other"; response: UpstreamResponse; }
     | FailedAttempt;
 
-/** Progress of the caller's stream over all attempts. */
-export type StreamProgress = {
-    lastEventId: string | undefined;
-    events: number;
-    firstEventAt: number | undefined;
-    lastEventAt: number | undefined;
-    /** Includes pauses between two attempts, while the stream was resumed. */
-    longestPauseMilliseconds: number;
-    /** Until when it was last held back for its caller; infinite while it is. */
-    heldBackUntil: number;
-};
-
-/** Whether the event follows the last one that the caller has received; ids are increasing integers. */
-const isNewer = ({ id }: StreamEvent, { lastEventId }: StreamProgress): boolean =>
-    lastEventId === undefined || id === undefined || Number(id) > Number(lastEventId);
-
 export const createStreamTask = (
     scheduler: StreamScheduler,
     admission: StreamAdmission,
     dependencies: RequestDependencies,
 ) => {
-    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits } = dependencies;
+    const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits, requestCosts } =
+        dependencies;
 
     const readFullBody = createBodyReader();
     const moveWhenSilent = createSilentStreamMove(scheduler, dependencies);
@@ -235,7 +221,10 @@
         const resumeBy = Math.max(progress.lastEventAt ?? context.arrivedAt, progress.heldBackUntil)
             + resumeWindowMilliseconds;
         for (;;) {
-            const reservation = scheduler.reserve(context.service, attempts.excluded, { admissionClass: "admitted" });
+            const reservation = scheduler.reserve(context.service, attempts.excluded, {
+                admissionClass: "admitted",
+                cost: context.cost,
+            });
             if (reservation !== undefined && isHeldBack(context, attempts)) {
                 reservation.release();
                 return undefined;
@@ -258,6 +247,10 @@
     const finish = (context: RequestContext, progress: StreamProgress, attempts: AttemptHistory): void => {
         const durationMilliseconds = clock.now() - context.arrivedAt;
         context.sink.end();
+        // The events of a stream that its caller resumes are only the rest of its answer.
+        if (progress.events > 0 && context.envelope.lastEventId === undefined) {
+            requestCosts?.recordStream(context, progress.events);
+        }
         metrics.observe("ingress_stream", durationMilliseconds);
         log.request(context.envelope.requestId, "answered", {
             events: progress.events,
@@ -298,6 +291,7 @@
                 upstream: upstream.id,
                 afterMilliseconds: Math.round(sentAt - context.arrivedAt),
                 afterEvent: progress.lastEventId,
+                cost: context.cost,
             });
             const observed = crashObserver.begin(upstream, envelope.requestId, context.traits);
             const attemptEnd = new AbortController();
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -4,9 +4,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
-import { startCrashEvidenceSync } from "../../coordination/ingress/crashEvidenceSync.js";
-import { createCrashEvidenceTable } from "../../coordination/ingress/crashEvidenceTable.js";
-import { createCrashObserver } from "../../coordination/ingress/crashObserver.js";
+import { createCostRouting } from "../../coordination/ingress/costRouting.js";
 import { followDeployment } from "../../coordination/ingress/deploymentFeed.js";
 import { createDeploymentState } from "../../coordination/ingress/deploymentState.js";
 import type { PeerEntry } from "../../coordination/ingress/gossipSchedule.js";
@@ -15,7 +13,7 @@
 import { createRecordPeers } from "../../coordination/ingress/recordPeers.js";
 import { createRecoveryWait } from "../../coordination/ingress/recoveryWait.js";
 import type { RequestContext, RequestDependencies } from "../../coordination/ingress/requestContext.js";
-import { requestTraits, suspectTraits } from "../../coordination/ingress/requestTraits.js";
+import { requestTraits } from "../../coordination/ingress/requestTraits.js";
 import { createResponseTimes } from "../../coordination/ingress/responseTimes.js";
 import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
@@ -33,18 +31,17 @@
 import { createMetrics } from "../../coordination/metrics.js";
 import { createRetryBudget } from "../../coordination/retryBudget.js";
 import type { IngressConfig } from "../../protocol/ingressConfig.js";
-import type { CrashEvidence } from "../../state/crashEvidence.js";
 import { refusal } from "../../state/errors.js";
 import type { Logger } from "../logger.js";
 import { monotonicClock } from "../systemClock.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 import { startBuffering } from "./buffering.js";
 import { type CallerRequest, startCallerServer } from "./callerServer.js";
+import { startCrashTracking } from "./crashTracking.js";
 import { drainCallers } from "./drainCallers.js";
 import { startEntryGossip } from "./entryGossip.js";
 import { startPeerServer } from "./peerServer.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
-import { isPortClosed } from "./portCheck.js";
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
 import { createRelayedSource } from "./recordRelay.js";
 import { createUpstreamRateLimiter } from "./upstreamRateLimiter.js";
@@ -121,32 +118,19 @@
         log,
         signal,
     });
-    const crashEvidence = createCrashEvidenceTable({
-        host: config.host,
-        unixNow: Date.now,
-        onOwnReport: () => gossip.publishNow(),
-        onEvidenceToStore: () => crashEvidenceSync.scheduleWrite(),
-        log,
-    });
-    const crashEvidenceSync = startCrashEvidenceSync({
+    const { crashEvidence, crashEvidenceSync, crashObserver, crashEvidenceToGossip } = startCrashTracking({
         host: config.host,
         store: platform.createCrashEvidenceStore(sharedRecords.source),
-        table: crashEvidence,
         entries: peerStatuses.entries,
-        clock,
-        log,
-        random: Math.random,
-        signal,
-    });
-    const crashObserver = createCrashObserver({
-        isPortClosed,
-        onCrash: ({ run, suspects }) => crashEvidence.recordCrash(run, suspects.map(suspectTraits)),
-        onAnswer: traits => crashEvidence.recordAnswer(suspectTraits(traits)),
+        onOwnReport: () => gossip.publishNow(),
         clock,
         log,
         metrics,
         signal,
     });
+    const minimumVariation = config.costRouting?.minimumVariation;
+    const costRouting = createCostRouting({ minimumVariation, state, peerStatuses, clock, log, metrics });
+    const { work, costs: requestCosts } = costRouting;
     const dependencies: RequestDependencies = {
         clock,
         log,
@@ -157,6 +141,7 @@
         crashEvidence,
         upstreamLimits,
         random: Math.random,
+        requestCosts,
     };
     const streamScheduler = createStreamScheduler({
         state,
@@ -170,6 +155,7 @@
         log,
         random: Math.random,
         signal,
+        costRouting,
     });
     const responseTimes = createResponseTimes(clock, Math.random);
     const unaryScheduler = createUnaryScheduler({
@@ -181,6 +167,7 @@
         availabilityZone: config.availabilityZone,
         runningOnOtherEntries: peerStatuses.runningOn,
         random: Math.random,
+        work,
     });
     const urgencyShares = createUrgencyShares({ ...dependencies, peerStatuses, load: streamScheduler.loadOf });
     const recoveryWait = config.waitForRecovery
@@ -199,11 +186,6 @@
             [...streamScheduler.running(), ...unaryScheduler.running()].filter(([, count]) => count > 0),
         );
 
-    const crashEvidenceToGossip = (): CrashEvidence | undefined => {
-        const evidence = crashEvidence.evidenceToGossip();
-        return evidence.crashes.length + evidence.answers.length === 0 ? undefined : evidence;
-    };
-
     const deploymentFollower = followDeployment({
         source: sharedRecords.source,
         store: sharedRecords.store,
@@ -237,7 +219,7 @@
             incarnation,
             running: runningByUpstream(),
             demand: urgencyShares.demand.all(),
-            work: {},
+            work: work.own(),
             limits: Object.fromEntries(streamScheduler.groups().map(({ group, limit }) => [group, limit])),
             store: storeMonitor.readStatus(),
             isServed: sharedRecords.isServed(),
@@ -296,6 +278,7 @@
             callerGone,
         };
         sink.setDueAt?.(responseDueAt);
+        context.cost = route.kind === "streaming" ? requestCosts.streamCost(context) : undefined;
         metrics.count(`ingress_requests_total{kind="${route.kind}"}`);
         await (route.kind === "streaming" ? runStream : runUnary)(context);
         boundedSignal.dispose();
@@ -350,6 +333,8 @@
         evacuatedZones: state.evacuatedZones(),
         upstreams: state.all(),
         groups: streamScheduler.groups(),
+        costs: requestCosts.describe(),
+        work: work.own(),
         heldBack: crashEvidence.holds(),
         statedLimits: upstreamLimits.stated.limits(),
         ...(buffering === undefined ? {} : { buffers: buffering.budget.state() }),
