--- a/src/coordination/ingress/urgencyShares.ts
+++ b/src/coordination/ingress/urgencyShares.ts
@@ -64,14 +64,12 @@
 const measuredAboveUse = 0.5;
 const planMaximumAgeMilliseconds = 20;
 /** Counts are at least this old: half of the interval of messages, and the way through a relay. */
-/** Most statuses are relayed, so a count is about twice as old as the time since it was received. */
-const ageAtReceipt = 2;
 const minimumCountAgeSeconds = 0.1;
 /**
  * Share of the more urgent arrivals within the age of the counts for which places are left free: the others start in
  * places that end meanwhile. With 1, over 3% of the limit was idle while streams waited.
  */
-const expectedNeedShare = 0.35;
+const expectedNeedShare = 0.5;
 /**
  * More is admitted than the capacity, since some streams don't get a place within their wait. At 2.3 times the capacity,
  * priority 0 was in time for 0.91 of its streams at 58 entries with 1, and for 0.94 at 44 entries with 1.05.
@@ -201,9 +199,7 @@
         const arrivals = sumOf(totals, ({ arrivalsPerSecond }) => arrivalsPerSecond);
         const capacity = measureCapacity(state, starts, serviceLoad);
         plan.capacityPerSecond = capacity;
-        const countAge = others.rows.length === 0
-            ? 0
-            : Math.max(minimumCountAgeSeconds, others.meanAgeSeconds * ageAtReceipt);
+        const countAge = others.rows.length === 0 ? 0 : Math.max(minimumCountAgeSeconds, others.meanAgeSeconds);
         const free = serviceLoad.limit - serviceLoad.running;
         plan.hasFreePlace = free >= 1;
         const unseenStarts = sumOf(others.rows, ({ startsPerSecond }) => startsPerSecond) * countAge;
