--- a/src/coordination/ingress/callerPace.ts
+++ b/src/coordination/ingress/callerPace.ts
@@ -14,6 +14,8 @@
     endChunk: () => void;
     /** Whether the events of this chunk may have waited for the caller. */
     isBehind: () => boolean;
+    /** Whether the stream was ever held back; a cut by its server may be noticed long after it. */
+    wasHeldBack: () => boolean;
     /** Resolves when the caller has read enough; undefined if the stream may go on at once. */
     waitForCaller: () => Promise<void> | undefined;
 };
@@ -31,10 +33,12 @@
 ): CallerPace => {
     let isBehind = false;
     let hasCaughtUp = false;
+    let wasHeldBack = false;
     let askedAt = clock.now();
 
     const hold = async (writable: Promise<void>): Promise<void> => {
         isBehind = true;
+        wasHeldBack = true;
         hasCaughtUp = false;
         progress.heldBackUntil = Infinity;
         reservation.setHeldBack(true);
@@ -55,6 +59,7 @@
             }
         },
         isBehind: () => isBehind,
+        wasHeldBack: () => wasHeldBack,
         waitForCaller: () => {
             const writable = sink.whenWritable?.(signal);
             return writable === undefined ? undefined : hold(writable);
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -130,7 +130,7 @@
         }
         held?.add(-heldPendingBytes);
         if (!response.isComplete() || splitter.pendingBytes() > 0) {
-            return { kind: "broken", reason: "the event stream was cut off", isOwnDoing: pace.isBehind() };
+            return { kind: "broken", reason: "the event stream was cut off", isOwnDoing: pace.wasHeldBack() };
         }
         if (!sink.hasStarted()) {
             sink.start(response.status, response.headers);
--- a/src/transport/ingress/pacedSink.ts
+++ b/src/transport/ingress/pacedSink.ts
@@ -13,6 +13,10 @@
  * deployments in use, and 13 MB with 400 callers that have stopped reading.
  */
 const windowBytes = 32_768;
+/** Parts that were taken from the queue are dropped from this number on, once they are half of it. */
+const compactAfterParts = 64;
+/** Replaces a part that was taken, so that its bytes are released. */
+const noBytes = Buffer.alloc(0);
 
 /** Bounds what `response` holds of the answer that is written to the returned sink; `sink` writes to `response`. */
 export const paceSink = (
@@ -21,7 +25,9 @@
     { held, unsent, addReader }: RequestBuffers,
     now: () => number,
 ): ResponseSink => {
-    const queue: Buffer[] = [];
+    /** Parts from `nextPart` on wait; taking each from the front would move all others, which may be tens of thousands. */
+    let queue: Buffer[] = [];
+    let nextPart = 0;
     const waiters = new Set<() => void>();
     let queuedBytes = 0;
     let isEnding = false;
@@ -43,15 +49,22 @@
     const close = (): void => {
         isClosed = true;
         removeReader();
-        queue.length = 0;
+        queue = [];
+        nextPart = 0;
         unsent.close();
         wakeWaiters();
     };
 
     /** Hands queued parts to the connection, one window at a time, and updates the account. */
     const pump = (): void => {
-        while (queue.length > 0 && response.writableLength < windowBytes) {
-            const part = queue.shift() as Buffer;
+        if (response.destroyed) {
+            close();
+            return;
+        }
+        while (nextPart < queue.length && response.writableLength < windowBytes) {
+            const part = queue[nextPart] as Buffer;
+            queue[nextPart] = noBytes;
+            nextPart += 1;
             queuedBytes -= part.length;
             response.write(part, error => {
                 if (error === null || error === undefined) {
@@ -59,7 +72,11 @@
                 }
             });
         }
-        if (queue.length === 0 && isEnding && !response.writableEnded) {
+        if (nextPart >= compactAfterParts && nextPart * 2 >= queue.length) {
+            queue = queue.slice(nextPart);
+            nextPart = 0;
+        }
+        if (nextPart === queue.length && isEnding && !response.writableEnded) {
             response.end();
         }
         unsent.add(queuedBytes + response.writableLength - unsent.bytes());
