Correct the sizes stated in the test of refusals for the budget

The comment gave 7.6 MB for four bodies of 1.6 MB; it is 6.4 MB, and the fifth request is refused as it would exceed 85% of the 8 MB. No code or bound changes.

--- a/tests/ingress/boundedBuffers.test.ts
+++ b/tests/ingress/boundedBuffers.test.ts
@@ -138,7 +138,7 @@
     });
 
     it("refuse a request that the budget has no room for before it reaches a server", async () => {
-        // 8 MB, of which four bodies that their server leaves unread take 7.6 MB.
+        // Of 8 MB, four bodies that their server leaves unread take 6.4 MB; a fifth would exceed 85%.
         await serve(126, "catalogue", 1, { events: 1, eventBytes: 100, ignoresBodies: true });
         const body = "x".repeat(1_600_000);
         const held = eventIds(4).map(index =>
