Answer 504 when the attempt's timer fires before the request's own

The two timers end at the same time, and if the attempt's fired first, a request that was overdue was called interrupted (502). Seen once in a test of the route's timeout on a busy machine, 502 in place of 504; the order of two timers of 199 and 200 ms explains it. The code is now chosen by the time as well. The new test failed to compile before, as the time was no parameter; it passes.

--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -126,9 +126,17 @@
     });
 };
 
+/** The timers of the attempt and of the request end at the same time; either may fire first. */
+const timerToleranceMilliseconds = 5;
+
 /** The error code of a request that may have been executed but has no complete response. */
-export const missingResponseCode = ({ signal, callerGone }: RequestContext): ErrorCode =>
-    signal.aborted && !callerGone.aborted ? "no-answer-in-time" : "interrupted";
+export const missingResponseCode = (
+    { signal, callerGone, responseDueAt }: Pick<RequestContext, "signal" | "callerGone" | "responseDueAt">,
+    now: number,
+): ErrorCode =>
+    !callerGone.aborted && (signal.aborted || now >= responseDueAt - timerToleranceMilliseconds)
+        ? "no-answer-in-time"
+        : "interrupted";
 
 /**
  * Ends a request that has no response from an upstream and logs the cause. A response that has started is aborted; a
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -343,7 +343,7 @@
                 : undefined;
         }
         if (attempts.mayHaveRun || context.sink.hasStarted() || signal.aborted) {
-            failRequest(context, dependencies, missingResponseCode(context), {
+            failRequest(context, dependencies, missingResponseCode(context, clock.now()), {
                 reason: lastReason,
                 reached: [...attempts.reached],
                 events: progress.events,
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -241,7 +241,7 @@
             deliver(context, upstreamId, result.response, result.body);
         }
         else if (attempts.mayHaveRun || signal.aborted && attempts.reached.size > 0) {
-            failRequest(context, dependencies, missingResponseCode(context), {
+            failRequest(context, dependencies, missingResponseCode(context, clock.now()), {
                 reason: lastReason,
                 reached: [...attempts.reached],
             });
--- a/tests/ingress/ingressDecisions.test.ts
+++ b/tests/ingress/ingressDecisions.test.ts
@@ -7,6 +7,7 @@
 } from "../../src/coordination/ingress/groupStallDetector.js";
 import { createIngressLog, maximumLinesPerSecond } from "../../src/coordination/ingress/ingressLog.js";
 import { createPeerStatusTable, type EntryStatus } from "../../src/coordination/ingress/peerStatusTable.js";
+import { missingResponseCode } from "../../src/coordination/ingress/requestContext.js";
 import { authorize, chooseService, compileRouteTable } from "../../src/coordination/ingress/routeTable.js";
 import { createUpstreamHealth } from "../../src/coordination/ingress/upstreamHealth.js";
 import type { Envelope, IngressRoute } from "../../src/state/ingressTypes.js";
@@ -103,6 +104,16 @@
     });
 });
 
+describe("a request without a complete response", () => {
+    it("is not called interrupted when its attempt's timer fires before the request's own", () => {
+        const active = new AbortController().signal;
+        const context = { signal: active, callerGone: active, responseDueAt: 1_000 };
+        expect(missingResponseCode(context, 999.4)).to.equal("no-answer-in-time");
+        expect(missingResponseCode(context, 500)).to.equal("interrupted");
+        expect(missingResponseCode({ ...context, callerGone: AbortSignal.abort() }, 999.4)).to.equal("interrupted");
+    });
+});
+
 describe("upstream health", () => {
     it("ejects an unreachable upstream at once and for longer each time, another after two failures", () => {
         const clock = virtualClock();
