--- a/src/coordination/ingress/urgencyShares.ts
+++ b/src/coordination/ingress/urgencyShares.ts
@@ -54,9 +54,9 @@
     metrics: Metrics;
 };
 
-/** Each priority keeps this share of the capacity if it wants that much, */
+/** The share of the capacity that each priority keeps if it wants that much. */
 const largestMinimumShare = 0.1;
-/** or an equal part of this share where accounts and routes make many priorities. */
+/** Many priorities keep equal parts of this share instead, so that the most urgent are left most of the capacity. */
 const sumOfMinimumShares = 0.3;
 /** Below this share of the capacity, demand that fluctuates hardly ever lacks a place. */
 const shortAboveLoad = 0.9;
@@ -72,10 +72,7 @@
  * places that end meanwhile. With 1, over 3% of the limit was idle while streams waited.
  */
 const expectedNeedShare = 0.5;
-/**
- * More is admitted than the capacity, since some streams don't get a place within their wait. At 2.3 times the capacity,
- * priority 0 was in time for 0.91 of its streams at 58 entries with 1, and for 0.94 at 44 entries with 1.05.
- */
+/** More is admitted than the capacity, since some streams don't get a place within their wait. */
 const admittedShareOfCapacity = 1.1;
 const highestQueuePriority = 9;
 /** Callers wait for a stated time only if it is at most this share of the time that they have left. */
