Review, case 4: a store that was partly down leaves all entries stale

Cause: the probes that look for a hanging poll read the topic of upstreams only, so a poll of the operator's topic that lost its answer is not noticed.

--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -1,6 +1,6 @@
 /**
- * Stand-in for the platform's store: keyed topics with one partition, long polls, conditional appends, outages, and the
- * return from an older copy with a new era.
+ * Stand-in for the platform's store: keyed topics with one partition, long polls, conditional appends, outages of the whole
+ * and of one topic, and the return from an older copy with a new era.
  */
 import { once } from "node:events";
 import { createServer } from "node:http";
@@ -48,6 +48,9 @@
     const waiters = new Set();
     let era = 0;
     let isAway = false;
+    /** The topic whose partition is down, and the calls to it that lost their answers. */
+    let silentTopic;
+    const openCalls = new Map();
 
     const topicOf = name => {
         const topic = topics.get(name) ?? [];
@@ -64,6 +67,9 @@
     };
 
     const sendJson = (response, status, body) => {
+        if (openCalls.get(response)?.hasLostAnswer === true) {
+            return;
+        }
         response.writeHead(status, { "Content-Type": "application/json", "Store-Era": String(era) });
         response.end(JSON.stringify(body));
     };
@@ -110,6 +116,9 @@
                 from,
                 Number.isInteger(waitMilliseconds) ? Math.min(waitMilliseconds, 30_000) : 0,
             );
+            if (openCalls.get(response)?.hasLostAnswer === true) {
+                return;
+            }
             const topic = topicOf(name);
             const offsets = Buffer.alloc(2 * offsetBytes);
             offsets.writeBigUInt64BE(BigInt(topic.length), 0);
@@ -134,6 +143,10 @@
             return;
         }
         const url = new URL(request.url, "http://store");
+        const call = { topic: url.searchParams.get("topic"), hasLostAnswer: false };
+        call.hasLostAnswer = call.topic === silentTopic;
+        openCalls.set(response, call);
+        response.once("close", () => openCalls.delete(response));
         const handler = handlers[`${request.method} ${url.pathname}`];
         readBody(request)
             .then(body =>
@@ -150,12 +163,22 @@
         isAway: () => isAway,
         /** Writes a record as the operator or a server does; false while the store is away. An undefined value removes the key. */
         put: (topic, key, value) => {
-            if (isAway) {
+            if (isAway || topic === silentTopic) {
                 return false;
             }
             append(topic, [encodeRecord(key, Buffer.from(value === undefined ? "" : JSON.stringify(value)))]);
             return true;
         },
+        /** Answers no call to a topic for a while; the calls that are open then are never answered. */
+        silenceTopic: (topic, milliseconds) => {
+            silentTopic = topic;
+            openCalls.forEach(call => {
+                call.hasLostAnswer ||= call.topic === topic;
+            });
+            setTimeout(() => {
+                silentTopic = undefined;
+            }, milliseconds).unref();
+        },
         leave: () => {
             isAway = true;
             server.closeAllConnections();
