--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,87 +1,85 @@
 /**
- * An operator takes a zone out while the store is away; the store returns from a copy that is some seconds old and
- * accepts the order. Checks that no entry sends requests to the zone's server once the order has to be in force.
+ * The store is silent for the entries of one zone and serves the others. Then an operator takes a key away. Checks that the
+ * other entries run no request with that key once the new configuration has to be in force.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { sleep } from "../standins/client.mjs";
-import { configuration, startDeployment, zones } from "../standins/deployment.mjs";
+import { apiKey, configuration, startDeployment } from "../standins/deployment.mjs";
 import { createRecord } from "../standins/record.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
-const evacuatedZone = zones[1];
-const evacuateMilliseconds = 5_000;
+const silentZone = "savo-iisalmi";
+const silentMilliseconds = 9_000;
+const configApplyMilliseconds = 2_000;
 const maxStretchMilliseconds = 5_000;
-const awayMilliseconds = 2_000;
-const copyAgeMilliseconds = 3_000;
-const operatorRetryMilliseconds = 20;
-const judgedMilliseconds = 6_000;
-const requestIntervalMilliseconds = 100;
+const judgedMilliseconds = 25_000;
+const requestIntervalMilliseconds = 250;
+const revokedKey = "qq7f3k0a8m2x5c1b9d4e";
+const okStatus = 200;
+
+const withBothKeys = { tenants: [{ name: "hule930", apiKeys: [apiKey, revokedKey], priority: 2 }] };
 
 const record = createRecord(dirname(fileURLToPath(import.meta.url)));
-const sentAt = new Map();
-const arrivals = [];
+const arrivals = new Map();
 
 const run = async () => {
     const deployment = await startDeployment({
         onRequest: arrival => {
-            arrivals.push(arrival);
-            record.add("arrived", arrival, arrival.at);
+            arrivals.set(arrival.requestId, arrival);
+            record.add("run", arrival, arrival.at);
         },
     });
-    const { store, servers, entries, register, readStock, fleet } = deployment;
+    const { store, entries, readStock } = deployment;
+    const sent = [];
     let isOver = false;
-    const traffic = entries.map(async entry => {
-        while (!isOver) {
-            const answer = await readStock(entry);
-            const { requestId, status, reason } = answer;
-            sentAt.set(requestId, { at: answer.sentAt, entry: entry.name });
-            record.add("answered", { requestId, entry: entry.name, status, reason }, answer.endedAt);
-            await sleep(requestIntervalMilliseconds);
-        }
-    });
     try {
-        await sleep(5_000);
+        store.put("keyed.op", "config", configuration(104, withBothKeys));
+        await sleep(4_000);
+        const traffic = entries.map(async entry => {
+            while (!isOver) {
+                for (const key of [apiKey, revokedKey]) {
+                    const answer = await readStock(entry, key);
+                    const { requestId, sentAt, status, reason } = answer;
+                    sent.push({ requestId, sentAt, status, key, entry });
+                    record.add("answered", { requestId, key, entry: entry.name, status, reason }, answer.endedAt);
+                }
+                await sleep(requestIntervalMilliseconds);
+            }
+        });
+        await sleep(3_000);
         if (hasTrouble) {
-            store.put("keyed.op", "config", configuration(107));
-            record.add("operator wrote a configuration", { version: 107 });
-            await sleep(1_000);
-            store.leave();
-            record.add("store away");
-            setTimeout(() => {
-                store.returnFromCopy(copyAgeMilliseconds);
-                record.add("store back", { copyAgeMilliseconds });
-                // What the operator and the servers wrote is written again.
-                store.put("keyed.op", "config", configuration(107));
-                servers.forEach(register);
-            }, awayMilliseconds);
-        }
-        else {
-            await sleep(1_000);
-        }
-        await sleep(awayMilliseconds / 2);
-        while (!store.put("keyed.op", `evacuate/${evacuatedZone}`, { zone: evacuatedZone })) {
-            await sleep(operatorRetryMilliseconds);
+            const silent = entries.filter(({ zone }) => zone === silentZone);
+            silent.forEach(({ storeProxy }) => storeProxy.silenceFor(silentMilliseconds));
+            record.add("store silent", { forEntries: silent.map(({ name }) => name), silentMilliseconds });
         }
+        await sleep(2_500);
+        store.put("keyed.op", "config", configuration(108));
         const ackAt = performance.now();
-        record.add("evacuation acknowledged", { zone: evacuatedZone });
-        const inForceAt = ackAt + evacuateMilliseconds + maxStretchMilliseconds;
-        await sleep(inForceAt - performance.now() + judgedMilliseconds);
+        record.add("configuration acknowledged", { version: 108, withoutKey: revokedKey });
+        const inForceAt = ackAt + configApplyMilliseconds + maxStretchMilliseconds;
+        await sleep(inForceAt - ackAt + judgedMilliseconds);
         isOver = true;
         await Promise.all(traffic);
-        const server = servers.find(({ zone }) => zone === evacuatedZone);
-        const late = arrivals.filter(arrival =>
-            arrival.server === server.id && (sentAt.get(arrival.requestId)?.at ?? 0) > inForceAt
+        const judged = sent.filter(({ key, sentAt, entry }) =>
+            key === revokedKey && sentAt > inForceAt && entry.zone !== silentZone
         );
-        const served = [...sentAt.values()].filter(({ at }) => at > inForceAt).length;
-        const senders = [...new Set(late.map(({ requestId }) => sentAt.get(requestId).entry))];
-        const died = entries.filter(({ name }) => fleet.processOf(name).exit !== undefined).map(({ name }) => name);
-        record.add("verdict", { lateArrivals: late.length, senders, requestsJudged: served, died });
+        const stale = judged.filter(({ requestId }) => arrivals.has(requestId));
+        const lastSeconds = Math.max(0, ...stale.map(({ sentAt }) => (sentAt - ackAt) / 1_000)).toFixed(1);
+        const staleEntries = new Set(stale.map(({ entry }) => entry.name)).size;
+        const served = sent.filter(({ key, status }) => key === apiKey && status === okStatus).length;
+        record.add("verdict", {
+            ranWithRevokedKey: stale.length,
+            of: judged.length,
+            staleEntries,
+            lastSeconds,
+            served,
+        });
         process.stdout.write(
-            `${late.length} of ${served} requests reached the evacuated zone over 10 s after the ack, from ${senders.length} `
-                + `of ${entries.length} entries\n`,
+            `${stale.length} of ${judged.length} requests ran with the key that was taken away over 7 s before, on `
+                + `${staleEntries} entries that the store serves, the last ${lastSeconds} s after the ack\n`,
         );
-        return died.length > 0 || served < 100 ? 2 : late.length > 0 ? 1 : 0;
+        return judged.length < 100 || served < 100 ? 2 : stale.length > 0 ? 1 : 0;
     }
     finally {
         isOver = true;
