Say by topic from whom records came and when the store last answered

When a configuration was late, logs could tell that it came into force, but not from whom its record was read nor when the store had last answered a read of its topic; the only age, lastContactAgo, is about any topic. Now operator records received names the giver, /state lists each topic's position, giver and the age of the store's last answer, and the metrics give version, offsets and ages.

--- a/src/coordination/ingress/deploymentFeed.ts
+++ b/src/coordination/ingress/deploymentFeed.ts
@@ -69,6 +69,8 @@
     decode: FeedDecoder;
     sink: FeedSink;
     storeMonitor: StoreMonitor;
+    /** Who gave the latest records of a topic, for the log. */
+    originOf: (topic: DeploymentTopic) => string | undefined;
     clock: Clock;
     log: IngressLog;
     random: () => number;
@@ -81,7 +83,7 @@
 };
 
 export const followDeployment = (options: DeploymentFollowerOptions): DeploymentFollower => {
-    const { source, store, decode, sink, storeMonitor, clock, log, random, signal } = options;
+    const { source, store, decode, sink, storeMonitor, originOf, clock, log, random, signal } = options;
     let isStoreUnavailable = false;
     /** Topics in which another entry is ahead, while the running poll still has time to deliver the records. */
     const topicsAwaitingLagCheck = new Set<DeploymentTopic>();
@@ -155,6 +157,13 @@
             }
             const { next, forgotten = [] } = batch.value;
             const records = batch.value.records.map(record => decode(topic, record));
+            if (topic === "operator" && records.length > 0) {
+                log.stateChange("operator records received", {
+                    records: records.length,
+                    ...next,
+                    from: originOf(topic),
+                });
+            }
             const isOlderCopy = clock.now() < restoringUntil || reached !== undefined && next.era > reached.era;
             if (from !== undefined) {
                 sink.apply(records);
--- a/src/coordination/ingress/sharedRecords.ts
+++ b/src/coordination/ingress/sharedRecords.ts
@@ -44,6 +44,18 @@
     hasRead: () => boolean;
     /** Position of this entry among all live ones when they take turns with calls to the store. */
     storeTurn: () => number;
+    /** How far each topic was read, and from where. */
+    topicStates: () => TopicState[];
+};
+
+export type TopicState = {
+    topic: FeedTopic;
+    /** The position after the last record that was read; undefined until the topic was read once. */
+    position: FeedPosition | undefined;
+    /** Host of the entry that gave the latest records, or `store`. */
+    from: string | undefined;
+    /** Milliseconds since the store answered a read of this topic to this entry; undefined if it never did. */
+    storeAnswerAge: number | undefined;
 };
 
 export type SharedRecordsOptions = {
@@ -87,6 +99,9 @@
     /** Topics that the store itself must be asked for, as it came back from an older copy or dropped its history. */
     const topicsToReread = new Set<FeedTopic>();
     const lastPollAt = new Map<FeedTopic, number>();
+    const storeAnsweredAt = new Map<FeedTopic, number>();
+    /** By topic, who gave the latest records. */
+    const origins = new Map<FeedTopic, string>();
     /** Running calls to other entries, with the entries' hosts. */
     const peerCalls = new Map<AbortController, string>();
     let served = true;
@@ -104,6 +119,7 @@
     };
 
     const callStore = async (
+        topic: FeedTopic,
         call: () => Promise<Result<RecordBatch, FeedFailure>>,
         callSignal: AbortSignal,
     ): Promise<Result<RecordBatch, FeedFailure>> => {
@@ -111,6 +127,7 @@
         if (result.isOk() || result.error.kind === "truncated") {
             const contactAge = clock.now() - (ownContactAt ?? -Infinity);
             ownContactAt = clock.now();
+            storeAnsweredAt.set(topic, ownContactAt);
             onStoreContact(contactAge);
             setServed(true, "it answered");
             if (result.isErr()) {
@@ -124,9 +141,9 @@
     };
 
     const store: RecordSource = {
-        readAll: (topic, callSignal) => callStore(() => options.store.readAll(topic, callSignal), callSignal),
+        readAll: (topic, callSignal) => callStore(topic, () => options.store.readAll(topic, callSignal), callSignal),
         readNewer: (topic, from, waitMilliseconds, callSignal) =>
-            callStore(() => options.store.readNewer(topic, from, waitMilliseconds, callSignal), callSignal),
+            callStore(topic, () => options.store.readNewer(topic, from, waitMilliseconds, callSignal), callSignal),
     };
 
     const isAvoided = (peer: string): boolean => (avoidedUntil.get(peer) ?? -Infinity) > clock.now();
@@ -253,11 +270,13 @@
             if (result?.isOk()) {
                 topicsToReread.delete(topic);
                 cache.replace(topic, result.value);
+                const origin = isAskingPeer ? informed.host : choice.kind === "peer" ? choice.host : "store";
+                origins.set(topic, origin);
                 log.stateChange("topic read", {
                     topic,
                     records: result.value.records.length,
                     ...result.value.next,
-                    from: isAskingPeer ? informed.host : choice.kind === "peer" ? choice.host : "store",
+                    from: origin,
                     afterMilliseconds: Math.round(clock.now() - startedReadingAt),
                 });
             }
@@ -299,14 +318,18 @@
             return result;
         };
         while (!callSignal.aborted) {
+            const choice = choose();
             const result = await readOnce(
-                choose(),
+                choice,
                 readStore,
                 (source, peerSignal) => source.readNewer(topic, from, remaining(), peerSignal),
                 callSignal,
             );
             if (result?.isOk()) {
                 cache.append(topic, result.value);
+                if (result.value.records.length > 0) {
+                    origins.set(topic, choice.kind === "peer" ? choice.host : "store");
+                }
             }
             if (result !== undefined) {
                 return result;
@@ -350,5 +373,15 @@
         isServed: () => served,
         hasRead,
         storeTurn: () => storeTurnOf(self(), candidates()),
+        topicStates: () =>
+            feedTopics.map(topic => {
+                const answeredAt = storeAnsweredAt.get(topic);
+                return {
+                    topic,
+                    position: cache.positionOf(topic),
+                    from: origins.get(topic),
+                    storeAnswerAge: answeredAt === undefined ? undefined : Math.round(clock.now() - answeredAt),
+                };
+            }),
     };
 };
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
+import { configurationGauges } from "../../coordination/ingress/configurationGauges.js";
 import { createCostRouting } from "../../coordination/ingress/costRouting.js";
 import { followDeployment } from "../../coordination/ingress/deploymentFeed.js";
 import { createDeploymentState } from "../../coordination/ingress/deploymentState.js";
@@ -192,6 +193,7 @@
         decode: platform.decode,
         sink: state,
         storeMonitor,
+        originOf: topic => sharedRecords.topicStates().find(state => state.topic === topic)?.from,
         clock,
         log,
         random: Math.random,
@@ -328,6 +330,7 @@
         availabilityZone: config.availabilityZone,
         configuration: state.routeTable()?.configuration.version,
         store: storeMonitor.readStatus(),
+        topics: sharedRecords.topicStates(),
         isServedByStore: sharedRecords.isServed(),
         entries: peerStatuses.entries(),
         evacuatedZones: state.evacuatedZones(),
@@ -339,7 +342,9 @@
         statedLimits: upstreamLimits.stated.limits(),
         ...(buffering === undefined ? {} : { buffers: buffering.budget.state() }),
     });
-    const metricsText = (): string => metrics.text() + (buffering?.metricsText() ?? "");
+    const configurationText = (): string =>
+        configurationGauges(state.routeTable()?.configuration.version, sharedRecords.topicStates());
+    const metricsText = (): string => metrics.text() + configurationText() + (buffering?.metricsText() ?? "");
     const metricsServer = await startMetricsServer(config.metrics, metricsText, describeState);
 
     return {
--- a/tests/support/recordFleet.ts
+++ b/tests/support/recordFleet.ts
@@ -298,6 +298,7 @@
             decode: (topic, record) => decode(record),
             sink: state,
             storeMonitor: monitor,
+            originOf: () => undefined,
             clock: ownClock,
             log,
             random: () => 0.5,
