Show late configurations after a partly silent store in failing tests

Callers were served by dropped routes and keys after a change was confirmed. The simulated store moved out of the fleet's file unchanged, but for topics that can fall silent.

--- a/tests/ingress/storeMonitor.test.ts
+++ b/tests/ingress/storeMonitor.test.ts
@@ -14,6 +14,19 @@
 
 const list = (fleet: RecordFleet, index: number): void => fleet.write("upstreams", `u${index}`, upstream(index));
 
+const configuration = (version: number): FeedRecord => ({
+    kind: "configuration",
+    configuration: {
+        version,
+        routes: [],
+        services: [],
+        accounts: [],
+        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+    },
+});
+
+const versionOf = (state: DeploymentState): number | undefined => state.routeTable()?.configuration.version;
+
 const knows = (state: DeploymentState, id: string): boolean => state.all().some(known => known.id === id);
 
 describe("store monitoring by many entries", () => {
@@ -107,4 +120,63 @@
         });
         fleet.stop();
     });
+
+    /** Milliseconds until all entries have the configuration, at most 20 s. */
+    const timeToApply = async (fleet: RecordFleet, version: number): Promise<number> => {
+        const startedAt = fleet.clock.now();
+        while (
+            fleet.states().some(state => versionOf(state) !== version) && fleet.clock.now() - startedAt < 20_000
+        ) {
+            await fleet.clock.advance(10);
+        }
+        return fleet.clock.now() - startedAt;
+    };
+
+    const startConfiguredFleet = async (zones: number): Promise<RecordFleet> => {
+        const fleet = startRecordFleet({ entries, zones });
+        fleet.write("operator", "config", configuration(1));
+        list(fleet, 1);
+        await fleet.clock.advance(4_000);
+        expect(fleet.states().map(versionOf)).to.deep.equal(Array(entries).fill(1));
+        return fleet;
+    };
+
+    for (const silentMilliseconds of [300, 1_000, 4_500]) {
+        it(`applies a configuration within 2 s after only the operator's partition was silent for ${silentMilliseconds} ms`, async () => {
+            const fleet = await startConfiguredFleet(3);
+            fleet.silenceTopic("operator", true);
+            for (let elapsed = 0; elapsed < silentMilliseconds; elapsed += 100) {
+                list(fleet, elapsed);
+                await fleet.clock.advance(100);
+            }
+            fleet.silenceTopic("operator", false);
+            await fleet.clock.advance(500);
+            fleet.write("operator", "config", configuration(2));
+            expect(await timeToApply(fleet, 2)).to.be.lessThan(2_000);
+            fleet.stop();
+        });
+    }
+
+    it("knows that it may miss configurations while only the operator's partition is silent", async () => {
+        const fleet = await startConfiguredFleet(3);
+        fleet.silenceTopic("operator", true);
+        await fleet.clock.advance(4_000);
+        for (const entry of Array(entries).keys()) {
+            expect(fleet.clock.now() - (fleet.monitor(entry).lastContact() ?? -Infinity)).to.be.greaterThan(3_000);
+        }
+        fleet.stop();
+    });
+
+    it("keeps upstreams whose records expire while only their partition is silent", async () => {
+        const fleet = await startConfiguredFleet(3);
+        fleet.silenceTopic("upstreams", true);
+        await fleet.clock.advance(4_000);
+        fleet.write("upstreams", "u1", undefined);
+        fleet.silenceTopic("upstreams", false);
+        for (let elapsed = 0; elapsed < 1_500; elapsed += 10) {
+            await fleet.clock.advance(10);
+            expect(fleet.states().every(state => knows(state, "u1"))).to.equal(true);
+        }
+        fleet.stop();
+    });
 });
--- a/tests/support/recordFleet.ts
+++ b/tests/support/recordFleet.ts
@@ -5,7 +5,7 @@
  * followers; the network and the store are simulated. Entries can be killed, started, frozen, cut off from the store or
  * from each other, and their running polls can hang as on a dead connection.
  */
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
 import {
     type DeploymentFollower,
@@ -27,9 +27,9 @@
 } from "../../src/coordination/ingress/recordSource.js";
 import { createSharedRecords, type SharedRecords } from "../../src/coordination/ingress/sharedRecords.js";
 import { createStoreMonitor, type StoreMonitor } from "../../src/coordination/ingress/storeMonitor.js";
-import { createNotifier } from "../../src/coordination/notifier.js";
 import type { Clock } from "../../src/state/types.js";
 import { type SteppedClock, steppedClock } from "./steppedClock.js";
+import { answerTimeoutMilliseconds, createStoreModel, type StoreModel, unavailable } from "./storeModel.js";
 
 export type RecordFleetOptions = {
     entries: number;
@@ -40,42 +40,22 @@
     startSpreadMilliseconds?: number;
 };
 
-export type StoreFaults = "refuses" | "silent";
-
-export type RecordFleet = {
+export type RecordFleet = Omit<StoreModel, "sourceFor" | "isLost"> & {
     clock: SteppedClock;
-    /** Writes a record as the operator or a server would; undefined removes the key. */
-    write: (topic: FeedTopic, key: string, record: FeedRecord | undefined) => void;
     states: () => DeploymentState[];
     monitor: (entry: number) => StoreMonitor;
     shared: (entry: number) => SharedRecords;
-    /** Calls that reached the store. */
-    storeCalls: () => number;
     /** Records that were sent between entries of different zones. */
     recordsAcrossZones: () => number;
-    /** How the store treats the entry from now on; undefined to serve it. */
-    setStoreFault: (entry: number, fault: StoreFaults | undefined) => void;
-    /** Running polls of the entry, at the store and at other entries, get no response; new calls do. */
-    hangPolls: (entry: number) => void;
     /** Cuts an entry off from all others; the store still serves it. */
     isolate: (entry: number, isIsolated: boolean) => void;
-    /** Deletes the history of a topic; a full read still returns the newest record of each key. */
-    dropHistory: (topic: FeedTopic) => void;
-    /** The store comes back from a copy without the latest `records` records of each topic, in the next era. */
-    restoreFromCopy: (records: number) => void;
     kill: (entry: number) => void;
     start: (entry: number) => void;
     stop: () => void;
 };
 
-const callMilliseconds = 4;
 const relayMilliseconds = 2;
 const datagramMilliseconds = 1;
-/** Timeout of a call without a response, as in the store client. */
-const answerTimeoutMilliseconds = 900;
-
-type ModelTopic = { records: { key: string; record: FeedRecord | undefined; }[]; firstOffset: number; };
-
 type EntryModel = {
     lifetime: AbortController;
     receive: (statuses: EntryStatus[]) => void;
@@ -86,9 +66,6 @@
 
 export const hostOf = (entry: number): string => `entry-${String(entry).padStart(3, "0")}`;
 
-const encode = (record: FeedRecord | undefined): Buffer =>
-    Buffer.from(record === undefined ? "" : JSON.stringify(record));
-
 const decode = ({ key, value }: StoredRecord): FeedRecord =>
     value.length === 0
         ? key.startsWith("evacuate/")
@@ -101,13 +78,8 @@
     const clock = steppedClock(0);
     const everything = new AbortController();
     setMaxListeners(0, everything.signal);
-    const notifier = createNotifier(clock);
-    const topics = new Map<FeedTopic, ModelTopic>();
-    let era = 1;
-    let storeCalls = 0;
+    const store = createStoreModel(clock);
     let recordsAcrossZones = 0;
-    const faults = new Map<number, StoreFaults>();
-    const hungAt = new Map<number, number>();
     const isolated = new Set<number>();
     const entries: (EntryModel | undefined)[] = [];
     const known: PeerEntry[] = [...Array(entryCount).keys()].map(entry => ({
@@ -117,86 +89,6 @@
     }));
     const zoneOf = (entry: number): string => (known[entry] as PeerEntry).availabilityZone;
 
-    const topicOf = (name: FeedTopic): ModelTopic => {
-        const topic = topics.get(name) ?? { records: [], firstOffset: 0 };
-        topics.set(name, topic);
-        return topic;
-    };
-
-    const unavailable = (reason: string): Result<RecordBatch, FeedFailure> => err({ kind: "unavailable", reason });
-
-    const recordsFrom = (name: FeedTopic, offset: number): RecordBatch => {
-        const { records } = topicOf(name);
-        return {
-            records: records.slice(offset).map(({ key, record }, index) => ({
-                key,
-                value: encode(record),
-                offset: offset + index,
-            })),
-            next: { era, offset: records.length },
-        };
-    };
-
-    const newestRecords = (name: FeedTopic): RecordBatch => {
-        const { records, next } = recordsFrom(name, 0);
-        const newest = new Map(records.map(record => [record.key, record]));
-        return { records: [...newest.values()].filter(({ value }) => value.length > 0), next };
-    };
-
-    /** Whether the response to a call that began at `calledAt` never arrives; waits until its caller gives up. */
-    const isLost = async (
-        entry: number,
-        calledAt: number,
-        waitMilliseconds: number,
-        signal: AbortSignal,
-    ): Promise<boolean> => {
-        if ((hungAt.get(entry) ?? -1) < calledAt) {
-            return false;
-        }
-        await clock.sleep(calledAt + waitMilliseconds + answerTimeoutMilliseconds - clock.now(), signal);
-        return true;
-    };
-
-    const storeFor = (entry: number): RecordSource => {
-        const call = async (
-            waitMilliseconds: number,
-            signal: AbortSignal,
-            isDue: () => boolean,
-            topic: FeedTopic,
-            answer: () => Result<RecordBatch, FeedFailure>,
-        ): Promise<Result<RecordBatch, FeedFailure>> => {
-            const calledAt = clock.now();
-            storeCalls += 1;
-            await clock.sleep(callMilliseconds, signal);
-            if (faults.get(entry) === "refuses") {
-                return unavailable("refused");
-            }
-            if (waitMilliseconds > 0 && !isDue()) {
-                await notifier.wait(topic, waitMilliseconds, signal);
-            }
-            if (signal.aborted) {
-                return unavailable("aborted");
-            }
-            if (faults.get(entry) === "silent") {
-                hungAt.set(entry, clock.now());
-            }
-            return await isLost(entry, calledAt, waitMilliseconds, signal)
-                ? unavailable("no answer in time")
-                : answer();
-        };
-        return {
-            readAll: (topic, signal) => call(0, signal, () => true, topic, () => ok(newestRecords(topic))),
-            readNewer: (topic, from, waitMilliseconds, signal) =>
-                call(waitMilliseconds, signal, () => topicOf(topic).records.length > from.offset, topic, () => {
-                    const { firstOffset, records } = topicOf(topic);
-                    const isKnown = from.era === era && from.offset >= firstOffset && from.offset <= records.length;
-                    return isKnown
-                        ? ok(recordsFrom(topic, from.offset))
-                        : err({ kind: "truncated", reason: "no such offset" });
-                }),
-        };
-    };
-
     const isReachable = (from: number, to: number): boolean =>
         from === to || !isolated.has(from) && !isolated.has(to) && isGossiping && entries[to] !== undefined;
 
@@ -214,7 +106,7 @@
                 return unavailable("not reachable");
             }
             const result = await read(source);
-            if (await isLost(entry, calledAt, waitMilliseconds, signal)) {
+            if (await store.isLost(entry, calledAt, waitMilliseconds, signal)) {
                 return unavailable("no answer in time");
             }
             recordsAcrossZones += result.isOk() && zoneOf(entry) !== zoneOf(to) ? result.value.records.length : 0;
@@ -245,7 +137,7 @@
         const shared: SharedRecords = createSharedRecords({
             host,
             availabilityZone,
-            store: storeFor(entry),
+            store: store.sourceFor(entry),
             peers: createRecordPeers({
                 availabilityZone,
                 knownEntries: isGossiping ? knownEntries : new Map(),
@@ -350,38 +242,12 @@
 
     return {
         clock,
-        write: (name, key, record) => {
-            topicOf(name).records.push({ key, record });
-            notifier.notify(name);
-        },
+        ...store,
         states: () => entries.flatMap(entry => entry?.state ?? []),
         monitor: entry => entryAt(entry).monitor,
         shared: entry => entryAt(entry).shared,
-        storeCalls: () => storeCalls,
         recordsAcrossZones: () => recordsAcrossZones,
-        setStoreFault: (entry, fault) => {
-            if (fault === undefined) {
-                faults.delete(entry);
-            }
-            else {
-                faults.set(entry, fault);
-            }
-        },
-        hangPolls: entry => hungAt.set(entry, clock.now()),
         isolate: (entry, isIsolated) => void (isIsolated ? isolated.add(entry) : isolated.delete(entry)),
-        dropHistory: name => {
-            topicOf(name).firstOffset = topicOf(name).records.length;
-        },
-        restoreFromCopy: lost => {
-            era += 1;
-            for (const [name, topic] of topics) {
-                topics.set(name, {
-                    records: topic.records.slice(0, Math.max(0, topic.records.length - lost)),
-                    firstOffset: 0,
-                });
-                notifier.notify(name);
-            }
-        },
         kill,
         start,
         stop: () => {
