--- a/src/coordination/ingress/deploymentFeed.ts
+++ b/src/coordination/ingress/deploymentFeed.ts
@@ -3,8 +3,9 @@
  *
  * Both are read by long polls, as new records are rare: the store appends a record that an upstream writes as a
  * heartbeat only if anything else in it changed. A poll that hangs on a dead connection would hide changes, so
- * occasional probes check that the store responds (see `storeMonitor.ts`). The first call that finds the store
- * unavailable aborts the polls, and a poll is restarted if another entry has read records that this one has not.
+ * occasional probes ask the store for newer records (see `topicFreshness.ts`), and a poll is restarted if a probe or
+ * another entry has read records that it has not delivered. Each topic is followed for itself, as the store may be silent
+ * for one and answer for the other.
  *
  * After the store has come back from an older copy, what is missing there is not taken for removed at once: the operator
  * and the upstreams write their records again, and a second complete read then shows what has gone.
@@ -15,17 +16,15 @@
 import type { IngressLog } from "./ingressLog.js";
 import {
     comparePositions,
+    type DeploymentTopic,
+    deploymentTopics,
     type FeedFailure,
     type FeedPosition,
     type RecordBatch,
     type RecordSource,
     type StoredRecord,
 } from "./recordSource.js";
-import type { StoreMonitor } from "./storeMonitor.js";
-
-export type DeploymentTopic = "operator" | "upstreams";
-
-export const deploymentTopics: readonly DeploymentTopic[] = ["operator", "upstreams"];
+import type { TopicFreshness } from "./topicFreshness.js";
 
 export type FeedRecord =
     | { kind: "configuration"; configuration: IngressConfiguration; }
@@ -44,8 +43,9 @@
     restore: (topic: DeploymentTopic, records: FeedRecord[]) => void;
     /** Applies records that follow those applied before. */
     apply: (records: FeedRecord[]) => void;
-    markStoreUnavailable: () => void;
-    markStoreAvailable: () => void;
+    /** The store answers no read of the topic to any entry, or does so again. */
+    markTopicUnavailable: (topic: DeploymentTopic) => void;
+    markTopicAvailable: (topic: DeploymentTopic) => void;
 };
 
 /** The store charges for each poll and limits its wait to 30 s. */
@@ -68,7 +68,7 @@
     store: RecordSource;
     decode: FeedDecoder;
     sink: FeedSink;
-    storeMonitor: StoreMonitor;
+    freshness: TopicFreshness;
     /** Who gave the latest records of a topic, for the log. */
     originOf: (topic: DeploymentTopic) => string | undefined;
     clock: Clock;
@@ -82,164 +82,186 @@
     checkPeerPositions: () => void;
 };
 
-export const followDeployment = (options: DeploymentFollowerOptions): DeploymentFollower => {
-    const { source, store, decode, sink, storeMonitor, originOf, clock, log, random, signal } = options;
-    let isStoreUnavailable = false;
-    /** Topics in which another entry is ahead, while the running poll still has time to deliver the records. */
-    const topicsAwaitingLagCheck = new Set<DeploymentTopic>();
-    /** Abort the running polls; `signal` does so too. */
-    const pollControllers: Record<DeploymentTopic, AbortController> = {
-        operator: new AbortController(),
-        upstreams: new AbortController(),
-    };
-    const restartPoll = (topic: DeploymentTopic): void => {
-        pollControllers[topic].abort();
-        pollControllers[topic] = new AbortController();
+/** Follows one topic; nothing that happens to another one changes what it does. */
+const followTopic = (topic: DeploymentTopic, options: DeploymentFollowerOptions): DeploymentFollower => {
+    const { source, store, decode, sink, freshness, originOf, clock, log, random, signal } = options;
+    let isUnavailable = false;
+    /** The position from which the topic is read on; undefined while it is to be read as a whole. */
+    let position: FeedPosition | undefined;
+    /** The latest position that was read, also while the topic is to be read as a whole. */
+    let reached: FeedPosition | undefined;
+    let restoringUntil = -Infinity;
+    let isLagCheckScheduled = false;
+    let answeredPolls = 0;
+    /** Aborts the running poll; `signal` does so too. */
+    let pollController = new AbortController();
+    signal.addEventListener("abort", () => pollController.abort(), { once: true });
+
+    const restartPoll = (): void => {
+        pollController.abort();
+        pollController = new AbortController();
     };
-    /** The positions from which the topics are read on; undefined for one that is to be read as a whole. */
-    const positions: Record<DeploymentTopic, FeedPosition | undefined> = { operator: undefined, upstreams: undefined };
-    const readAgain = (topic: DeploymentTopic): void => {
-        positions[topic] = undefined;
-        restartPoll(topic);
+
+    const readAgain = (): void => {
+        position = undefined;
+        restartPoll();
     };
-    signal.addEventListener("abort", () => deploymentTopics.forEach(topic => pollControllers[topic].abort()), {
-        once: true,
-    });
-
-    const handleFailure = (topic: DeploymentTopic, { kind, reason }: FeedFailure): void => {
-        const lastContact = storeMonitor.lastContact();
-        const lastContactAgo = lastContact === undefined ? undefined : Math.round(clock.now() - lastContact);
-        log.stateChange("store read failed", { topic, failure: kind, reason, lastContactAgo });
-        if (kind === "unavailable" && !isStoreUnavailable) {
-            isStoreUnavailable = true;
-            sink.markStoreUnavailable();
-            log.dependency("store", "lost", { reason });
-            deploymentTopics.forEach(restartPoll);
+
+    const handleFailure = ({ kind, reason }: FeedFailure): void => {
+        const confirmedAt = freshness.confirmedAt(topic);
+        const confirmedAgo = confirmedAt === undefined ? undefined : Math.round(clock.now() - confirmedAt);
+        log.stateChange("store read failed", { topic, failure: kind, reason, confirmedAgo });
+        if (kind === "unavailable" && !isUnavailable) {
+            isUnavailable = true;
+            sink.markTopicUnavailable(topic);
+            log.dependency("store", "lost", { topic, reason });
+            restartPoll();
         }
     };
 
     const handleSuccess = (): void => {
-        if (isStoreUnavailable) {
-            isStoreUnavailable = false;
-            sink.markStoreAvailable();
-            log.dependency("store", "regained", {});
+        if (isUnavailable) {
+            isUnavailable = false;
+            sink.markTopicAvailable(topic);
+            log.dependency("store", "regained", { topic });
+        }
+    };
+
+    const advance = (next: FeedPosition, records: FeedRecord[]): void => {
+        if (topic === "operator" && records.length > 0) {
+            log.stateChange("operator records received", { records: records.length, ...next, from: originOf(topic) });
         }
+        position = next;
+        reached = next;
+        freshness.recordRead(topic, next);
     };
 
-    const follow = async (topic: DeploymentTopic): Promise<void> => {
-        /** The latest position that was read, also while the topic must be read again. */
-        let reached: FeedPosition | undefined;
-        let restoringUntil = -Infinity;
+    const takeAll = ({ records, next, forgotten = [] }: RecordBatch): void => {
+        const decoded = records.map(record => decode(topic, record));
+        const isFirst = reached === undefined;
+        const isOlderCopy = clock.now() < restoringUntil
+            || reached !== undefined && (next.era > reached.era || comparePositions(next, reached) < 0);
+        if (isOlderCopy) {
+            log.stateChange("store came back from an older copy", { topic, ...next, reached });
+            sink.restore(topic, decoded);
+        }
+        else {
+            sink.replace(topic, decoded);
+        }
+        if (isFirst) {
+            sink.apply(forgotten.map(record => decode(topic, record)));
+        }
+        if (isOlderCopy || isFirst && forgotten.length > 0) {
+            restoringUntil = clock.now() + restoreMilliseconds;
+            void clock.sleep(restoreMilliseconds, signal).then(() => {
+                if (clock.now() >= restoringUntil) {
+                    readAgain();
+                }
+            });
+        }
+        advance(next, decoded);
+    };
+
+    /** Takes records that were read on from a position; polls and probes overlap, so some may be known already. */
+    const takeNewer = ({ records, next }: RecordBatch): void => {
+        const known = position;
+        if (known === undefined || known.era !== next.era || next.offset < known.offset) {
+            return;
+        }
+        const decoded = records.filter(({ offset }) => offset >= known.offset).map(record => decode(topic, record));
+        sink.apply(decoded);
+        advance(next, decoded);
+    };
+
+    const poll = async (): Promise<void> => {
         while (!signal.aborted) {
-            const pollSignal = pollControllers[topic].signal;
-            const from: FeedPosition | undefined = positions[topic];
+            const pollSignal = pollController.signal;
+            const from = position;
             const batch: Result<RecordBatch, FeedFailure> = from === undefined
                 ? await source.readAll(topic, pollSignal)
                 // While the store is unavailable, polls don't wait: the first response shows its return.
-                : await source.readNewer(topic, from, isStoreUnavailable ? 0 : longPollMilliseconds, pollSignal);
-            if (batch.isErr()) {
-                // A call that was aborted by this entry says nothing about the store.
-                if (!pollSignal.aborted) {
-                    handleFailure(topic, batch.error);
-                }
-                if (batch.error.kind === "truncated") {
-                    positions[topic] = undefined;
-                }
-                else if (!pollSignal.aborted) {
-                    await clock.sleep(retryIntervalMilliseconds * (0.5 + random()), signal);
-                }
-                continue;
-            }
-            handleSuccess();
-            if (positions[topic] !== from) {
-                // The topic is to be read as a whole since this poll began.
+                : await source.readNewer(topic, from, isUnavailable ? 0 : longPollMilliseconds, pollSignal);
+            if (batch.isOk()) {
+                handleSuccess();
+                answeredPolls += 1;
+                (from === undefined ? takeAll : takeNewer)(batch.value);
                 continue;
             }
-            const { next, forgotten = [] } = batch.value;
-            const records = batch.value.records.map(record => decode(topic, record));
-            if (topic === "operator" && records.length > 0) {
-                log.stateChange("operator records received", {
-                    records: records.length,
-                    ...next,
-                    from: originOf(topic),
-                });
-            }
-            const isOlderCopy = clock.now() < restoringUntil || reached !== undefined && next.era > reached.era;
-            if (from !== undefined) {
-                sink.apply(records);
-            }
-            else if (isOlderCopy) {
-                log.stateChange("store came back from an older copy", { topic, ...next, reached });
-                sink.restore(topic, records);
+            // A call that was aborted by this entry says nothing about the store.
+            if (!pollSignal.aborted) {
+                handleFailure(batch.error);
             }
-            else {
-                sink.replace(topic, records);
+            if (batch.error.kind === "truncated") {
+                position = undefined;
             }
-            if (from === undefined && reached === undefined) {
-                sink.apply(forgotten.map(record => decode(topic, record)));
+            else if (!pollSignal.aborted) {
+                await clock.sleep(retryIntervalMilliseconds * (0.5 + random()), signal);
             }
-            if (from === undefined && (isOlderCopy || reached === undefined && forgotten.length > 0)) {
-                restoringUntil = clock.now() + restoreMilliseconds;
-                void clock.sleep(restoreMilliseconds, signal).then(() => {
-                    if (clock.now() >= restoringUntil) {
-                        readAgain(topic);
-                    }
-                });
-            }
-            positions[topic] = next;
-            reached = next;
-            storeMonitor.recordRead(topic, next);
         }
     };
 
+    /** Gives the running poll time to deliver records that are known to exist, and restarts it if it doesn't. */
+    const restartLatePoll = async (restart: () => void): Promise<boolean> => {
+        const [answeredBefore, pollBefore] = [answeredPolls, pollController];
+        await clock.sleep(lagGraceMilliseconds, signal);
+        const isLate = answeredPolls === answeredBefore && pollController === pollBefore;
+        if (isLate) {
+            restart();
+        }
+        return isLate;
+    };
+
     /** Probes only while the store counts as available; otherwise the polls detect its return. */
     const probe = async (): Promise<void> => {
         while (!signal.aborted) {
-            const delayMilliseconds = storeMonitor.millisecondsUntilProbe();
-            const positions = storeMonitor.readStatus()?.positions;
-            if (delayMilliseconds > 0 || isStoreUnavailable || positions === undefined) {
+            const delayMilliseconds = freshness.millisecondsUntilProbe(topic);
+            const from = position;
+            if (delayMilliseconds > 0 || isUnavailable || from === undefined) {
                 await clock.sleep(Math.max(delayMilliseconds, probeCheckIntervalMilliseconds), signal);
                 continue;
             }
-            const response = await store.readNewer("upstreams", positions.upstreams, 0, signal);
+            const response = await store.readNewer(topic, from, 0, signal);
             if (response.isOk()) {
+                takeNewer(response.value);
                 if (response.value.records.length > 0) {
-                    // The running poll should have delivered them at the same time.
-                    restartPoll("upstreams");
+                    await restartLatePoll(restartPoll);
                 }
                 continue;
             }
-            log.stateChange("store probe failed", { ...response.error });
-            // The running polls wait at a store that does not answer, or at positions that it doesn't have any more.
-            deploymentTopics.forEach(response.error.kind === "truncated" ? readAgain : restartPoll);
+            log.stateChange("store probe failed", { topic, ...response.error });
+            if (response.error.kind === "truncated") {
+                readAgain();
+            }
             await clock.sleep(retryIntervalMilliseconds, signal);
         }
     };
 
-    /** Gives the running poll time to deliver the missing records, and restarts it if it doesn't. */
-    const scheduleLagCheck = (topic: DeploymentTopic): void => {
-        if (topicsAwaitingLagCheck.has(topic)) {
+    const scheduleLagCheck = async (): Promise<void> => {
+        if (isLagCheckScheduled) {
             return;
         }
-        topicsAwaitingLagCheck.add(topic);
-        const positionBefore = storeMonitor.readStatus()?.positions[topic];
-        void clock.sleep(lagGraceMilliseconds, signal).then(() => {
-            topicsAwaitingLagCheck.delete(topic);
-            const position = storeMonitor.readStatus()?.positions[topic];
-            if (
-                position !== undefined && positionBefore !== undefined
-                && comparePositions(position, positionBefore) === 0
-            ) {
-                log.stateChange("store poll restarted, peers have newer records", { topic, ...positionBefore });
-                // A poll at a store that came back from an older copy may wait at an offset that it gave out again.
-                (storeMonitor.isInOlderEra(topic) ? readAgain : restartPoll)(topic);
-            }
-        });
+        isLagCheckScheduled = true;
+        const positionBefore = position;
+        // A poll at a store that came back from an older copy may wait at an offset that it gave out again.
+        const isLate = await restartLatePoll(freshness.isInOlderEra(topic) ? readAgain : restartPoll);
+        isLagCheckScheduled = false;
+        if (isLate) {
+            log.stateChange("store poll restarted, peers have newer records", { topic, ...positionBefore });
+        }
     };
 
-    deploymentTopics.forEach(topic => void follow(topic));
+    void poll();
     void probe();
     return {
-        checkPeerPositions: () => deploymentTopics.filter(storeMonitor.isBehind).forEach(scheduleLagCheck),
+        checkPeerPositions: () => {
+            if (freshness.isBehind(topic)) {
+                void scheduleLagCheck();
+            }
+        },
     };
 };
+
+export const followDeployment = (options: DeploymentFollowerOptions): DeploymentFollower => {
+    const followers = deploymentTopics.map(topic => followTopic(topic, options));
+    return { checkPeerPositions: () => followers.forEach(follower => follower.checkPeerPositions()) };
+};
--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -7,8 +7,9 @@
  */
 import type { IngressConfiguration, Upstream } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
-import type { DeploymentTopic, FeedRecord, FeedSink } from "./deploymentFeed.js";
+import type { FeedRecord, FeedSink } from "./deploymentFeed.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { DeploymentTopic } from "./recordSource.js";
 import { compileRouteTable, type RouteTable } from "./routeTable.js";
 
 /** Within this time after the store's return, live upstreams have registered again. */
@@ -49,7 +50,8 @@
     /** Start time of the run that is leaving, by upstream id. */
     const leaving = new Map<string, number>();
     let graceUntil = 0;
-    let isStoreUnavailable = false;
+    /** Whether the store answers no read of the list of upstreams. */
+    let isListUnavailable = false;
 
     const acceptConfiguration = (configuration: IngressConfiguration, source: string): boolean => {
         const known = table?.configuration.version;
@@ -100,7 +102,7 @@
         if (known === undefined) {
             return;
         }
-        const isWithinGrace = isStoreUnavailable || clock.now() < graceUntil;
+        const isWithinGrace = isListUnavailable || clock.now() < graceUntil;
         if (isWithinGrace && !known.isDraining) {
             upstreams.set(id, { ...known, goneAt: graceUntil });
         }
@@ -189,7 +191,7 @@
 
     const isUsable = ({ id, isDraining, goneAt, availabilityZone }: KnownUpstream): boolean =>
         !isDraining && !leaving.has(id) && !evacuatedZones.has(availabilityZone)
-        && (goneAt === undefined || isStoreUnavailable || clock.now() < goneAt);
+        && (goneAt === undefined || isListUnavailable || clock.now() < goneAt);
 
     return {
         replace: (topic, records) => {
@@ -209,12 +211,14 @@
         },
         leavingToGossip: () =>
             Object.fromEntries([...leaving].filter(([id]) => upstreams.get(id)?.isDraining === false)),
-        markStoreUnavailable: () => {
-            isStoreUnavailable = true;
+        markTopicUnavailable: topic => {
+            isListUnavailable ||= topic === "upstreams";
         },
-        markStoreAvailable: () => {
-            isStoreUnavailable = false;
-            graceUntil = clock.now() + relistGraceMilliseconds;
+        markTopicAvailable: topic => {
+            if (topic === "upstreams") {
+                isListUnavailable = false;
+                graceUntil = clock.now() + relistGraceMilliseconds;
+            }
         },
         routeTable: () => table,
         acceptConfiguration,
--- a/src/coordination/ingress/gossipSchedule.ts
+++ b/src/coordination/ingress/gossipSchedule.ts
@@ -21,9 +21,13 @@
             { ...statement, ageMilliseconds: Math.round(statement.ageMilliseconds + age) },
         ]),
     );
-    return store === undefined
-        ? { ...status, statedLimits }
-        : { ...status, statedLimits, store: { ...store, contactAge: Math.round(store.contactAge + age) } };
+    if (store === undefined) {
+        return { ...status, statedLimits };
+    }
+    const confirmedAges = Object.fromEntries(
+        Object.entries(store.confirmedAges).map(([topic, confirmedAge]) => [topic, Math.round(confirmedAge + age)]),
+    );
+    return { ...status, statedLimits, store: { ...store, confirmedAges } };
 };
 
 export type GossipSchedule = {
--- a/src/coordination/ingress/peerStatusTable.ts
+++ b/src/coordination/ingress/peerStatusTable.ts
@@ -7,8 +7,9 @@
 import type { CrashEvidence } from "../../state/crashEvidence.js";
 import type { Clock } from "../../state/types.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { FeedTopic } from "./recordSource.js";
 import type { LimitStatement } from "./statedLimits.js";
-import type { StoreReadStatus } from "./storeMonitor.js";
+import type { TopicReadStatus } from "./topicFreshness.js";
 
 /** Streams of one priority that one entry sees for one service. */
 export type PriorityDemand = {
@@ -68,9 +69,9 @@
     /** Its outstanding work by upstream id; only for services that are routed by cost. */
     work: Record<string, OutstandingWork>;
     /** Undefined until it has read both topics of the store once. */
-    store: StoreReadStatus | undefined;
-    /** Whether the store answered its latest call; true before the first. */
-    isServed: boolean;
+    store: TopicReadStatus | undefined;
+    /** Topics for which the store left its latest call without an answer. */
+    unserved: FeedTopic[];
     /** Whether other entries can read all followed topics from it. */
     hasRead: boolean;
     /** Upstreams whose responses said that they are leaving, with the start times of those runs. */
--- a/src/coordination/ingress/recordCache.ts
+++ b/src/coordination/ingress/recordCache.ts
@@ -97,10 +97,11 @@
 
     const append = (topic: FeedTopic, { records, next }: RecordBatch): void => {
         const known = topics.get(topic);
-        if (known === undefined || known.next.era !== next.era) {
+        if (known === undefined || known.next.era !== next.era || next.offset <= known.next.offset) {
             return;
         }
-        for (const record of records) {
+        // Calls overlap: the batch may begin with records that another one brought before.
+        for (const record of records.filter(({ offset }) => offset >= known.next.offset)) {
             known.records.set(record.key, record);
             known.forgotten.delete(record.key);
         }
--- a/src/coordination/ingress/recordPeers.ts
+++ b/src/coordination/ingress/recordPeers.ts
@@ -2,10 +2,9 @@
  * The other entries as sources of records: which of them are live, what they say of the store, and where to read from
  * them.
  */
-import type { Clock } from "../../state/types.js";
 import { type PeerEntry, remoteIntervalMilliseconds, zoneIntervalMilliseconds } from "./gossipSchedule.js";
 import type { EntryStatus, PeerStatusTable } from "./peerStatusTable.js";
-import type { RecordSource } from "./recordSource.js";
+import { comparePositions, type RecordSource } from "./recordSource.js";
 import type { RecordPeers } from "./sharedRecords.js";
 
 export type RecordPeersOptions = {
@@ -15,7 +14,6 @@
     peerStatuses: Pick<PeerStatusTable, "live">;
     /** Reads from the entry at an address. */
     createSource: (address: string) => RecordSource;
-    clock: Pick<Clock, "now">;
 };
 
 /** An entry counts as silent after this many of its regular messages are missing. */
@@ -23,7 +21,7 @@
 const minimumSilenceMilliseconds = 600;
 
 export const createRecordPeers = (options: RecordPeersOptions): RecordPeers => {
-    const { availabilityZone, knownEntries, peerStatuses, createSource, clock } = options;
+    const { availabilityZone, knownEntries, peerStatuses, createSource } = options;
     const sources = new Map<string, RecordSource>();
 
     const sourceAt = (address: string): RecordSource => {
@@ -53,25 +51,21 @@
     };
 
     return {
-        candidates: () =>
+        candidates: topic =>
             audible().map(({ status }) => ({
                 host: status.host,
                 availabilityZone: status.availabilityZone,
-                isServed: status.isServed,
+                isServed: !status.unserved.includes(topic),
                 hasRead: status.hasRead && status.store !== undefined,
             })),
+        ahead: (topic, position) =>
+            audible().filter(({ status: { store, hasRead } }) =>
+                hasRead && store !== undefined && comparePositions(store.positions[topic], position) > 0
+            ).map(({ status }) => ({ host: status.host, availabilityZone: status.availabilityZone })),
         unheard: () => {
             const heard = new Set(peerStatuses.live().map(({ status }) => status.host));
             return [...knownEntries.values()].filter(({ host }) => !heard.has(host));
         },
         sourceOf: host => sourceAt(knownEntries.get(host)?.address ?? ""),
-        latestStoreContact: () =>
-            peerStatuses.live().reduce(
-                (latest, { status, age }) =>
-                    status.store === undefined
-                        ? latest
-                        : Math.max(latest, clock.now() - age - status.store.contactAge),
-                -Infinity,
-            ),
     };
 };
--- a/src/coordination/ingress/recordSource.ts
+++ b/src/coordination/ingress/recordSource.ts
@@ -12,6 +12,14 @@
  */
 export type FeedTopic = "operator" | "upstreams" | "entries" | "crashes";
 
+/** The topics that describe the deployment; entries report to each other how far they have read these. */
+export type DeploymentTopic = "operator" | "upstreams";
+
+export const deploymentTopics: readonly DeploymentTopic[] = ["operator", "upstreams"];
+
+export const isDeploymentTopic = (topic: FeedTopic): topic is DeploymentTopic =>
+    (deploymentTopics as readonly FeedTopic[]).includes(topic);
+
 export const feedTopics: readonly FeedTopic[] = ["operator", "upstreams", "entries", "crashes"];
 
 /**
--- a/src/coordination/ingress/sharedRecords.ts
+++ b/src/coordination/ingress/sharedRecords.ts
@@ -3,32 +3,41 @@
  * keeps what was read for the entries that read from this one.
  *
  * The choice is made anew for each poll, and a poll at another entry ends as soon as the choice changes: when that
- * entry falls silent, loses the store or answers nothing usable. A caller gets a failure only if no live entry is
- * served by the store, so "unavailable" means an outage and not the trouble of one entry.
+ * entry falls silent, loses the store or answers nothing usable. A caller gets a failure only if no live entry is served by the store, so "unavailable" means an
+ * outage and not the trouble of one entry.
+ *
+ * Topics are stored apart and may be silent one by one, so whom the store serves is decided for each of them.
  */
 import { err, type Result } from "neverthrow";
 import type { Clock } from "../../state/types.js";
+import type { TopicState } from "./configurationGauges.js";
 import type { IngressLog } from "./ingressLog.js";
+import { createOutageTurns } from "./outageTurns.js";
 import { createRecordCache, type RecordCache } from "./recordCache.js";
 import {
+    comparePositions,
+    type DeploymentTopic,
     type FeedFailure,
     type FeedPosition,
     type FeedTopic,
     feedTopics,
+    isDeploymentTopic,
     type RecordBatch,
     type RecordSource,
 } from "./recordSource.js";
+import { createStoreAccess } from "./storeAccess.js";
 import { chooseReadFrom, type ReaderCandidate, type ReadFrom, storeTurnOf } from "./storeReaders.js";
+import type { TopicFreshness } from "./topicFreshness.js";
 
 /** Entries of the deployment, other than this one, as sources of records. */
 export type RecordPeers = {
-    /** Live entries. */
-    candidates: () => ReaderCandidate[];
+    /** Live entries, as sources of a topic. */
+    candidates: (topic: FeedTopic) => ReaderCandidate[];
+    /** Live entries that say that they have read beyond the position. */
+    ahead: (topic: DeploymentTopic, position: FeedPosition) => { host: string; availabilityZone: string; }[];
     /** Entries of the list that have not been heard. */
     unheard: () => { host: string; availabilityZone: string; }[];
     sourceOf: (host: string) => RecordSource;
-    /** When the store last answered another entry; -Infinity if that is not known. */
-    latestStoreContact: () => number;
 };
 
 export type SharedRecords = {
@@ -38,8 +47,8 @@
     store: RecordSource;
     /** What this entry has read, for other entries. */
     cache: RecordCache;
-    /** Whether the store answered the latest call of this entry; true before the first. */
-    isServed: () => boolean;
+    /** Topics for which the store left the latest call of this entry without an answer. */
+    unserved: () => FeedTopic[];
     /** Whether other entries can read all topics from this one. */
     hasRead: () => boolean;
     /** Position of this entry among all live ones when they take turns with calls to the store. */
@@ -48,25 +57,14 @@
     topicStates: () => TopicState[];
 };
 
-export type TopicState = {
-    topic: FeedTopic;
-    /** The position after the last record that was read; undefined until the topic was read once. */
-    position: FeedPosition | undefined;
-    /** Host of the entry that gave the latest records, or `store`. */
-    from: string | undefined;
-    /** Milliseconds since the store answered a read of this topic to this entry; undefined if it never did. */
-    storeAnswerAge: number | undefined;
-};
-
 export type SharedRecordsOptions = {
     host: string;
     availabilityZone: string;
     store: RecordSource;
     peers: RecordPeers;
-    /** Called after each response of the store to this entry, with the time since the one before. */
-    onStoreContact: (milliseconds: number) => void;
-    /** Called when `isServed` has changed. */
-    onServedChange: () => void;
+    freshness: TopicFreshness;
+    /** Called when the other entries should soon hear what the store answered, or that it did not. */
+    onNews: () => void;
     clock: Clock;
     log: IngressLog;
     signal: AbortSignal;
@@ -83,125 +81,107 @@
 const storePollPauseMilliseconds = 100;
 /** Longer than an unanswered probe of one entry, and shorter than that of two in turn. */
 const storeSilenceMilliseconds = 1_700;
-/**
- * Interval of calls to a store that serves no entry, for the entry with the first turn. It grows with the square of the
- * turn, so that all entries together make about four calls a second.
- */
-const outageRetryMilliseconds = 400;
 /** Interval at which an entry that the store turns away tries again while others are served. */
 const regainIntervalMilliseconds = 2_000;
+/** Time for which a complete read from before what is known is taken for that of a source that lags. */
+const laggingMilliseconds = 5_000;
+const laggingRetryMilliseconds = 200;
 
 export const createSharedRecords = (options: SharedRecordsOptions): SharedRecords => {
-    const { host, availabilityZone, peers, onStoreContact, onServedChange, clock, log, signal } = options;
+    const { host, availabilityZone, peers, freshness, onNews, clock, log, signal } = options;
     const cache = createRecordCache(clock);
     const startedAt = clock.now();
     const avoidedUntil = new Map<string, number>();
     /** Topics that the store itself must be asked for, as it came back from an older copy or dropped its history. */
     const topicsToReread = new Set<FeedTopic>();
     const lastPollAt = new Map<FeedTopic, number>();
-    const storeAnsweredAt = new Map<FeedTopic, number>();
     /** By topic, who gave the latest records. */
     const origins = new Map<FeedTopic, string>();
-    /** Running calls to other entries, with the entries' hosts. */
-    const peerCalls = new Map<AbortController, string>();
-    let served = true;
-    let ownContactAt: number | undefined;
-    let nextOutageTryAt = -Infinity;
+    /** Running calls to other entries. */
+    const peerCalls = new Map<AbortController, { peer: string; topic: FeedTopic; }>();
 
-    const hasRead = (): boolean => feedTopics.every(topic => cache.positionOf(topic) !== undefined);
+    const storeAccess = createStoreAccess({
+        store: options.store,
+        freshness,
+        onTruncated: () => feedTopics.forEach(topic => topicsToReread.add(topic)),
+        onNews,
+        clock,
+        log,
+    });
+    const { isServed, unserved } = storeAccess;
 
-    const setServed = (isServedNow: boolean, reason: string): void => {
-        if (served !== isServedNow) {
-            served = isServedNow;
-            log.stateChange(served ? "store serves this entry again" : "store does not serve this entry", { reason });
-            onServedChange();
-        }
-    };
+    const hasRead = (): boolean => feedTopics.every(topic => cache.positionOf(topic) !== undefined);
 
-    const callStore = async (
-        topic: FeedTopic,
-        call: () => Promise<Result<RecordBatch, FeedFailure>>,
-        callSignal: AbortSignal,
-    ): Promise<Result<RecordBatch, FeedFailure>> => {
-        const result = await call();
-        if (result.isOk() || result.error.kind === "truncated") {
-            const contactAge = clock.now() - (ownContactAt ?? -Infinity);
-            ownContactAt = clock.now();
-            storeAnsweredAt.set(topic, ownContactAt);
-            onStoreContact(contactAge);
-            setServed(true, "it answered");
-            if (result.isErr()) {
-                feedTopics.forEach(topic => topicsToReread.add(topic));
+    const store: RecordSource = {
+        readAll: storeAccess.readAll,
+        readNewer: async (topic, from, waitMilliseconds, callSignal) => {
+            const result = await storeAccess.readNewer(topic, from, waitMilliseconds, callSignal);
+            if (result.isOk()) {
+                keep(topic, result.value, "store");
             }
-        }
-        else if (!callSignal.aborted) {
-            setServed(false, result.error.reason);
-        }
-        return result;
+            return result;
+        },
     };
 
-    const store: RecordSource = {
-        readAll: (topic, callSignal) => callStore(topic, () => options.store.readAll(topic, callSignal), callSignal),
-        readNewer: (topic, from, waitMilliseconds, callSignal) =>
-            callStore(topic, () => options.store.readNewer(topic, from, waitMilliseconds, callSignal), callSignal),
+    /** Keeps records that were read on from a known position. */
+    const keep = (topic: FeedTopic, batch: RecordBatch, origin: string): void => {
+        cache.append(topic, batch);
+        if (batch.records.length > 0) {
+            origins.set(topic, origin);
+        }
     };
 
     const isAvoided = (peer: string): boolean => (avoidedUntil.get(peer) ?? -Infinity) > clock.now();
 
-    const candidates = (): ReaderCandidate[] =>
-        peers.candidates().map(candidate => ({
+    const candidates = (topic: FeedTopic): ReaderCandidate[] =>
+        peers.candidates(topic).map(candidate => ({
             ...candidate,
             isServed: candidate.isServed && !isAvoided(candidate.host),
         }));
 
-    const self = (): ReaderCandidate & { isStarting: boolean; } => ({
+    const self = (topic: FeedTopic): ReaderCandidate & { isStarting: boolean; } => ({
         host,
         availabilityZone,
-        isServed: served,
+        isServed: isServed(topic),
         hasRead: hasRead(),
         isStarting: clock.now() - startedAt < startMilliseconds,
     });
 
     /** Whether no entry that this one hears has been answered by the store for a while. */
-    const isStoreSilent = (): boolean =>
-        clock.now() - (ownContactAt ?? startedAt) > storeSilenceMilliseconds
-        && peers.latestStoreContact() < clock.now() - storeSilenceMilliseconds;
+    const isStoreSilent = (topic: FeedTopic): boolean =>
+        clock.now() - Math.max(startedAt, freshness.lastAnswerAt(topic)) > storeSilenceMilliseconds;
 
-    const choose = (): ReadFrom =>
-        isStoreSilent()
+    const choose = (topic: FeedTopic): ReadFrom =>
+        isStoreSilent(topic)
             ? { kind: "none" }
-            : chooseReadFrom({ self: self(), peers: candidates(), unheard: peers.unheard() });
+            : chooseReadFrom({ self: self(topic), peers: candidates(topic), unheard: peers.unheard() });
 
     /** The other topics wait for the list of entries, which tells whom to read them from. */
     const chooseFor = (topic: FeedTopic): ReadFrom =>
-        self().isStarting && topic !== "entries" && cache.positionOf("entries") === undefined
+        self(topic).isStarting && topic !== "entries" && cache.positionOf("entries") === undefined
             ? { kind: "wait" }
-            : choose();
+            : choose(topic);
 
     const avoid = (peer: string, reason: string): void => {
         avoidedUntil.set(peer, clock.now() + avoidMilliseconds);
         log.stateChange("records not read from this entry for now", { entry: peer, reason });
     };
 
-    /** Whether this entry may call a store that serves nobody; takes the turn. */
-    const takeOutageTurn = (): boolean => {
-        if (clock.now() < nextOutageTryAt) {
-            return false;
-        }
-        nextOutageTryAt = clock.now() + outageRetryMilliseconds * (1 + storeTurnOf(self(), candidates())) ** 2;
-        return true;
-    };
+    const storeTurn = (topic: FeedTopic): number => storeTurnOf(self(topic), candidates(topic));
+
+    const takeOutageTurn = createOutageTurns({ isSilent: isStoreSilent, turnOf: storeTurn, clock });
 
     /** Reads from an entry; undefined if it gave nothing usable, or should not be read from any more. */
     const readFromPeer = async (
         peer: string,
+        topic: FeedTopic,
         read: (source: RecordSource, callSignal: AbortSignal) => Promise<Result<RecordBatch, FeedFailure>>,
         callerSignal: AbortSignal,
     ): Promise<Result<RecordBatch, FeedFailure> | undefined> => {
         const call = new AbortController();
         const abort = (): void => call.abort();
         callerSignal.addEventListener("abort", abort, { once: true });
-        peerCalls.set(call, peer);
+        peerCalls.set(call, { peer, topic });
         const result = await read(peers.sourceOf(peer), call.signal);
         const wasAborted = call.signal.aborted;
         callerSignal.removeEventListener("abort", abort);
@@ -220,6 +200,7 @@
 
     /** One read as chosen; undefined if it gave nothing usable and the choice is to be made anew. */
     const readOnce = async (
+        topic: FeedTopic,
         choice: ReadFrom,
         readStore: () => Promise<Result<RecordBatch, FeedFailure>>,
         readPeer: (source: RecordSource, callSignal: AbortSignal) => Promise<Result<RecordBatch, FeedFailure>>,
@@ -230,19 +211,19 @@
             return undefined;
         }
         if (choice.kind === "peer") {
-            return readFromPeer(choice.host, readPeer, callSignal);
+            return readFromPeer(choice.host, topic, readPeer, callSignal);
         }
-        if (choice.kind === "none" && !takeOutageTurn()) {
+        if (choice.kind === "none" && !takeOutageTurn(topic)) {
             return unavailable("the store serves no live entry");
         }
         const result = await readStore();
         const isTurnedAway = result.isErr() && result.error.kind === "unavailable" && !callSignal.aborted;
-        return isTurnedAway && choose().kind !== "none" ? undefined : result;
+        return isTurnedAway && choose(topic).kind !== "none" ? undefined : result;
     };
 
     /** An entry that has read all topics, in the own zone if there is one. */
-    const informedPeer = (): ReaderCandidate | undefined => {
-        const informed = candidates().filter(peer => peer.hasRead && !isAvoided(peer.host));
+    const informedPeer = (topic: FeedTopic): ReaderCandidate | undefined => {
+        const informed = candidates(topic).filter(peer => peer.hasRead && !isAvoided(peer.host));
         return informed.find(peer => peer.availabilityZone === availabilityZone) ?? informed[0];
     };
 
@@ -251,26 +232,39 @@
         callSignal: AbortSignal,
     ): Promise<Result<RecordBatch, FeedFailure>> => {
         const startedReadingAt = clock.now();
+        let laggingSince: number | undefined;
         while (!callSignal.aborted) {
             const mustAskStore = topicsToReread.has(topic);
             const choice = chooseFor(topic);
             // Other entries also know what the store has forgotten, so an entry that starts asks them first.
             const informed = mustAskStore || choice.kind === "peer"
                 ? undefined
-                : informedPeer();
+                : informedPeer(topic);
             const isAskingPeer = informed !== undefined && choice.kind === "store";
             const result = isAskingPeer
                 ? await readFromInformed(informed.host, topic, callSignal)
                 : await readOnce(
-                    mustAskStore && served ? { kind: "store" } : choice,
+                    topic,
+                    mustAskStore && isServed(topic) ? { kind: "store" } : choice,
                     () => store.readAll(topic, callSignal),
                     (source, peerSignal) => source.readAll(topic, peerSignal),
                     callSignal,
                 );
+            const origin = isAskingPeer ? informed.host : choice.kind === "peer" ? choice.host : "store";
+            if (result?.isOk() && isLagging(topic, result.value)) {
+                laggingSince ??= clock.now();
+                if (clock.now() - laggingSince < laggingMilliseconds) {
+                    log.stateChange("older records not taken", { topic, ...result.value.next, from: origin });
+                    if (origin !== "store") {
+                        avoid(origin, "its records are older than those known");
+                    }
+                    await clock.sleep(laggingRetryMilliseconds, callSignal);
+                    continue;
+                }
+            }
             if (result?.isOk()) {
                 topicsToReread.delete(topic);
                 cache.replace(topic, result.value);
-                const origin = isAskingPeer ? informed.host : choice.kind === "peer" ? choice.host : "store";
                 origins.set(topic, origin);
                 log.stateChange("topic read", {
                     topic,
@@ -287,6 +281,12 @@
         return unavailable("the read was aborted");
     };
 
+    /** Whether a complete read is from before what this entry has read. */
+    const isLagging = (topic: FeedTopic, { next }: RecordBatch): boolean => {
+        const known = cache.positionOf(topic);
+        return known !== undefined && comparePositions(next, known) < 0;
+    };
+
     const readFromInformed = async (
         peer: string,
         topic: FeedTopic,
@@ -300,6 +300,33 @@
         return result;
     };
 
+    /** Reads from an entry that says that it has newer records; undefined if there is none, or it gave none. */
+    const readFromAhead = async (
+        topic: FeedTopic,
+        from: FeedPosition,
+        callSignal: AbortSignal,
+    ): Promise<Result<RecordBatch, FeedFailure> | undefined> => {
+        const ahead = isDeploymentTopic(topic) && freshness.isBehind(topic)
+            ? peers.ahead(topic, from).filter(peer => !isAvoided(peer.host))
+            : [];
+        const peer = ahead.find(entry => entry.availabilityZone === availabilityZone) ?? ahead[0];
+        if (peer === undefined) {
+            return undefined;
+        }
+        const result = await peers.sourceOf(peer.host).readNewer(topic, from, 0, callSignal);
+        if (result.isOk() && result.value.records.length > 0) {
+            keep(topic, result.value, peer.host);
+            return result;
+        }
+        if (result.isErr() && result.error.kind === "truncated") {
+            return result;
+        }
+        if (!callSignal.aborted) {
+            avoid(peer.host, result.isErr() ? result.error.reason : "it has no newer records");
+        }
+        return undefined;
+    };
+
     const readNewer = async (
         topic: FeedTopic,
         from: FeedPosition,
@@ -318,18 +345,20 @@
             return result;
         };
         while (!callSignal.aborted) {
-            const choice = choose();
+            const ahead = await readFromAhead(topic, from, callSignal);
+            if (ahead !== undefined) {
+                return ahead;
+            }
+            const choice = choose(topic);
             const result = await readOnce(
+                topic,
                 choice,
                 readStore,
                 (source, peerSignal) => source.readNewer(topic, from, remaining(), peerSignal),
                 callSignal,
             );
-            if (result?.isOk()) {
-                cache.append(topic, result.value);
-                if (result.value.records.length > 0) {
-                    origins.set(topic, choice.kind === "peer" ? choice.host : "store");
-                }
+            if (result?.isOk() && choice.kind === "peer") {
+                keep(topic, result.value, choice.host);
             }
             if (result !== undefined) {
                 return result;
@@ -342,13 +371,17 @@
     const regainStore = async (): Promise<void> => {
         while (!signal.aborted) {
             await clock.sleep(regainIntervalMilliseconds, signal);
-            const position = cache.positionOf("operator");
-            const isPreceded = candidates().some(peer =>
-                peer.isServed && peer.availabilityZone === availabilityZone && peer.host < host
+            await Promise.all(
+                unserved().map(async topic => {
+                    const position = cache.positionOf(topic);
+                    const isPreceded = candidates(topic).some(peer =>
+                        peer.isServed && peer.availabilityZone === availabilityZone && peer.host < host
+                    );
+                    if (!isPreceded && position !== undefined && choose(topic).kind === "peer") {
+                        await store.readNewer(topic, position, 0, signal);
+                    }
+                }),
             );
-            if (!served && !isPreceded && position !== undefined && choose().kind === "peer") {
-                await store.readNewer("operator", position, 0, signal);
-            }
         }
     };
 
@@ -356,10 +389,11 @@
     const watchPeerCalls = async (): Promise<void> => {
         while (!signal.aborted) {
             await clock.sleep(choiceCheckMilliseconds, signal);
-            if (peerCalls.size > 0) {
-                const choice = choose();
-                [...peerCalls].filter(([, peer]) => choice.kind !== "peer" || choice.host !== peer)
-                    .forEach(([call]) => call.abort());
+            for (const [call, { peer, topic }] of [...peerCalls]) {
+                const choice = choose(topic);
+                if (choice.kind !== "peer" || choice.host !== peer) {
+                    call.abort();
+                }
             }
         }
     };
@@ -370,17 +404,20 @@
         source: { readAll, readNewer },
         store,
         cache,
-        isServed: () => served,
+        unserved,
         hasRead,
-        storeTurn: () => storeTurnOf(self(), candidates()),
+        storeTurn: () => storeTurn("upstreams"),
         topicStates: () =>
             feedTopics.map(topic => {
-                const answeredAt = storeAnsweredAt.get(topic);
+                const answeredAt = storeAccess.answeredAt(topic);
+                const confirmedAt = isDeploymentTopic(topic) ? freshness.confirmedAt(topic) : undefined;
                 return {
                     topic,
                     position: cache.positionOf(topic),
                     from: origins.get(topic),
                     storeAnswerAge: answeredAt === undefined ? undefined : Math.round(clock.now() - answeredAt),
+                    confirmedAge: confirmedAt === undefined ? undefined : Math.round(clock.now() - confirmedAt),
+                    isServed: isServed(topic),
                 };
             }),
     };
--- a/src/protocol/entryGossipMessages.ts
+++ b/src/protocol/entryGossipMessages.ts
@@ -5,8 +5,8 @@
 import type { Result } from "neverthrow";
 import { deflateRawSync } from "node:zlib";
 import { z } from "zod";
-import type { DeploymentTopic } from "../coordination/ingress/deploymentFeed.js";
 import type { EntryStatus } from "../coordination/ingress/peerStatusTable.js";
+import { type DeploymentTopic, type FeedTopic, feedTopics } from "../coordination/ingress/recordSource.js";
 import { inflateBounded } from "./boundedInflate.js";
 import { crashEvidenceSchema } from "./crashEvidenceMessages.js";
 import { decodeJsonAs, describeDecodingError } from "./decoding.js";
@@ -34,11 +34,15 @@
     work: z.record(z.string(), workSchema).default({}),
     // Entries of earlier builds state offsets only, and neither whether they are served nor what they have read.
     store: z.object({
+        // Read by entries of earlier builds, which state no ages of single topics.
         contactAge: z.number(),
         offsets: z.object({ operator: z.number(), upstreams: z.number() }),
         eras: z.object({ operator: z.number(), upstreams: z.number() }).optional(),
+        confirmedAges: z.object({ operator: z.number().optional(), upstreams: z.number().optional() }).default({}),
     }).optional(),
+    // Entries of earlier builds state `isServed` for the store as a whole.
     isServed: z.boolean().default(true),
+    unserved: z.array(z.enum(feedTopics as [FeedTopic, ...FeedTopic[]])).optional(),
     hasRead: z.boolean().default(false),
     leaving: z.record(z.string(), z.number()).default({}),
     statedLimits: z.record(z.string(), limitStatementSchema).default({}),
@@ -60,8 +64,15 @@
 /** Rates and amounts of work are sent as whole numbers or with one decimal, which is enough to decide by. */
 const withOneDecimal = (value: number): number => Math.round(value * 10) / 10;
 
+/** What entries of earlier builds take for an entry that was never answered. */
+const unknownContactAge = 1_000_000_000;
+
+const contactAgeOf = (ages: Partial<Record<DeploymentTopic, number>>): number =>
+    Math.max(ages.operator ?? unknownContactAge, ages.upstreams ?? unknownContactAge);
+
 const toWire = ({ store, demand, work, ...status }: EntryStatus): WireStatus => ({
     ...status,
+    isServed: status.unserved.length === 0,
     demand: demand && mapValues(
         demand,
         priorities =>
@@ -79,7 +90,8 @@
     ]),
     ...store === undefined ? {} : {
         store: {
-            contactAge: store.contactAge,
+            contactAge: contactAgeOf(store.confirmedAges),
+            confirmedAges: store.confirmedAges,
             offsets: mapTopics(store.positions, ({ offset }) => offset),
             eras: mapTopics(store.positions, ({ era }) => era),
         },
@@ -91,8 +103,9 @@
     map: (value: From) => To,
 ): Record<DeploymentTopic, To> => ({ operator: map(operator), upstreams: map(upstreams) });
 
-const fromWire = ({ store, demand, work, ...status }: WireStatus): EntryStatus => ({
-    ...status as Omit<EntryStatus, "store" | "demand" | "work">,
+const fromWire = ({ store, demand, work, isServed, unserved, ...status }: WireStatus): EntryStatus => ({
+    ...status as Omit<EntryStatus, "store" | "demand" | "work" | "unserved">,
+    unserved: unserved ?? (isServed ? [] : [...feedTopics]),
     demand: demand && mapValues(
         demand,
         priorities =>
@@ -105,7 +118,7 @@
     ),
     work: mapValues(work, ([promptTokens, remaining, heldTokens]) => ({ promptTokens, remaining, heldTokens })),
     store: store === undefined ? undefined : {
-        contactAge: store.contactAge,
+        confirmedAges: store.confirmedAges,
         positions: {
             operator: { era: store.eras?.operator ?? 0, offset: store.offsets.operator },
             upstreams: { era: store.eras?.upstreams ?? 0, offset: store.offsets.upstreams },
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -10,9 +10,9 @@
 } from "../../coordination/experts/groupCoordinator.js";
 import type { RankEngines, RankReport } from "../../coordination/experts/rankEngine.js";
 import { withRelayedMaps } from "../../coordination/experts/relayedMaps.js";
-import type { DeploymentTopic, FeedDecoder, FeedRecord } from "../../coordination/ingress/deploymentFeed.js";
+import type { FeedDecoder, FeedRecord } from "../../coordination/ingress/deploymentFeed.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
-import type { RecordSource } from "../../coordination/ingress/recordSource.js";
+import type { DeploymentTopic, RecordSource } from "../../coordination/ingress/recordSource.js";
 import { createMetrics } from "../../coordination/metrics.js";
 import type { RankConfig } from "../../protocol/ingressConfig.js";
 import type { Upstream, UpstreamService } from "../../state/ingressTypes.js";
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -19,10 +19,10 @@
 import { createRetryReserve } from "../../coordination/ingress/retryReserve.js";
 import { authorize, chooseService } from "../../coordination/ingress/routeTable.js";
 import { createSharedRecords } from "../../coordination/ingress/sharedRecords.js";
-import { createStoreMonitor } from "../../coordination/ingress/storeMonitor.js";
 import { createStreamAdmission } from "../../coordination/ingress/streamAdmission.js";
 import { createStreamScheduler } from "../../coordination/ingress/streamScheduler.js";
 import { createStreamTask } from "../../coordination/ingress/streamTask.js";
+import { createTopicFreshness } from "../../coordination/ingress/topicFreshness.js";
 import { createUnaryScheduler } from "../../coordination/ingress/unaryScheduler.js";
 import { createUnaryTask } from "../../coordination/ingress/unaryTask.js";
 import { createUpstreamHealth } from "../../coordination/ingress/upstreamHealth.js";
@@ -59,10 +59,8 @@
 
 /** Used for callers that state no timeout; the longest timeout of the deployments in use. */
 const defaultCallerTimeoutMilliseconds = 8_000;
-/** After this long without the store, an unknown route or key may have been added in the meantime. */
-const storeStaleMilliseconds = 3_000;
-/** Other entries probe the store when they have heard of no contact for about this long. */
-const publishContactAfterMilliseconds = 500;
+/** After this long without news of the configuration, an unknown route or key may have been added in the meantime. */
+const configurationStaleMilliseconds = 3_000;
 /** Fraction of the permitted retry ratio that is used; the rest covers requests that upstreams reject on their own. */
 const usedRetryRatioFraction = 0.85;
 
@@ -95,7 +93,7 @@
         metrics,
     });
     const notices = { state, pauses, limits: upstreamLimits.stated };
-    const storeMonitor = createStoreMonitor(clock, () => sharedRecords.storeTurn());
+    const freshness = createTopicFreshness(clock, () => sharedRecords.storeTurn());
     const sharedRecords = createSharedRecords({
         host: config.host,
         availabilityZone: config.availabilityZone,
@@ -105,16 +103,9 @@
             knownEntries,
             peerStatuses,
             createSource: createRelayedSource,
-            clock,
         }),
-        onStoreContact: silentFor => {
-            storeMonitor.recordContact();
-            // Spares the other entries a probe; otherwise the regular messages tell them soon enough.
-            if (silentFor > publishContactAfterMilliseconds) {
-                gossip.publishNow();
-            }
-        },
-        onServedChange: () => gossip.publishNow(),
+        freshness,
+        onNews: () => gossip.publishNow(),
         clock,
         log,
         signal,
@@ -192,7 +183,7 @@
         store: sharedRecords.store,
         decode: platform.decode,
         sink: state,
-        storeMonitor,
+        freshness,
         originOf: topic => sharedRecords.topicStates().find(state => state.topic === topic)?.from,
         clock,
         log,
@@ -208,7 +199,7 @@
         knownEntries,
         peerStatuses,
         onStatuses: statuses => {
-            statuses.flatMap(({ store }) => store ?? []).forEach(storeMonitor.recordPeerStatus);
+            statuses.flatMap(({ store }) => store ?? []).forEach(freshness.recordPeerStatus);
             statuses.flatMap(status => status.crashEvidence ?? []).forEach(crashEvidence.merge);
             upstreamLimits.recordStatuses(statuses);
             statuses.flatMap(({ leaving }) => Object.entries(leaving)).forEach(([id, bornAt]) =>
@@ -223,8 +214,8 @@
             demand: urgencyShares.demand.all(),
             work: work.own(),
             limits: Object.fromEntries(streamScheduler.groups().map(({ group, limit }) => [group, limit])),
-            store: storeMonitor.readStatus(),
-            isServed: sharedRecords.isServed(),
+            store: freshness.readStatus(),
+            unserved: sharedRecords.unserved(),
             hasRead: sharedRecords.hasRead(),
             leaving: state.leavingToGossip(),
             statedLimits: upstreamLimits.statementsToGossip(),
@@ -235,8 +226,8 @@
         signal,
     });
 
-    const isStoreStale = (): boolean =>
-        clock.now() - (storeMonitor.lastContact() ?? -Infinity) > storeStaleMilliseconds;
+    const isConfigurationStale = (): boolean =>
+        clock.now() - (freshness.confirmedAt("operator") ?? -Infinity) > configurationStaleMilliseconds;
 
     const handle = async (
         { message, body, sink, callerGone, buffers, arrivedAt }: CallerRequest,
@@ -251,7 +242,7 @@
         const authorization = authorize(table, envelope);
         if (authorization.kind !== "allowed") {
             const { version } = table.configuration;
-            const code = isStoreStale() ? "not-ready" : authorization.kind;
+            const code = isConfigurationStale() ? "not-ready" : authorization.kind;
             log.failure(envelope.requestId, "refused", { code, reason: authorization.kind, configuration: version });
             const parameters = code === "unknown-route" ? [envelope.method, envelope.path] : [config.host];
             sink.refuse(refusal(code, parameters, code === "not-ready" ? 1 : undefined));
@@ -329,9 +320,7 @@
         host: config.host,
         availabilityZone: config.availabilityZone,
         configuration: state.routeTable()?.configuration.version,
-        store: storeMonitor.readStatus(),
         topics: sharedRecords.topicStates(),
-        isServedByStore: sharedRecords.isServed(),
         entries: peerStatuses.entries(),
         evacuatedZones: state.evacuatedZones(),
         upstreams: state.all(),
--- a/tests/ingress/deploymentState.test.ts
+++ b/tests/ingress/deploymentState.test.ts
@@ -40,9 +40,9 @@
 
     it("keeps upstreams whose records expired during a store outage for two seconds after the store's return", () => {
         const { clock, state, usable } = open();
-        state.markStoreUnavailable();
+        state.markTopicUnavailable("upstreams");
         clock.advance(9_000);
-        state.markStoreAvailable();
+        state.markTopicAvailable("upstreams");
         state.replace("upstreams", []);
         expect(usable()).to.deep.equal(["a", "b"]);
         clock.advance(1_500);
@@ -54,8 +54,8 @@
     it("gives no grace period to an upstream that was draining", () => {
         const { state, usable } = open();
         state.apply([{ kind: "upstream", upstream: upstream("a", { isDraining: true }) }]);
-        state.markStoreUnavailable();
-        state.markStoreAvailable();
+        state.markTopicUnavailable("upstreams");
+        state.markTopicAvailable("upstreams");
         state.apply([{ kind: "upstream-gone", id: "a" }]);
         expect(usable()).to.deep.equal(["b"]);
     });
--- a/tests/ingress/gossip.test.ts
+++ b/tests/ingress/gossip.test.ts
@@ -28,7 +28,7 @@
     running: {},
     limits: {},
     store: undefined,
-    isServed: true,
+    unserved: [],
     hasRead: false,
     leaving: {},
     demand: {},
@@ -136,16 +136,16 @@
 
     it("is decoded from a datagram as it was encoded, and other bytes are rejected", () => {
         const positions = { operator: { era: 2, offset: 8 }, upstreams: { era: 3, offset: 900 } };
-        const store = { contactAge: 3, positions };
+        const store = { confirmedAges: { operator: 3, upstreams: 700 }, positions };
         const leaving = { "i-1": 1_700_000_000_000 };
         const statuses = [
             statusOf({ running: { x: 3 }, limits: { g: 40.5 }, leaving }),
-            statusOf({ host: "b", store }),
+            statusOf({ host: "b", store, unserved: ["operator"] }),
         ];
         const decoded = decodeEntryGossip(encodeEntryGossip({ from: "a", news: statuses }))._unsafeUnwrap();
         expect(decoded.from).to.equal("a");
         expect(decoded.news[0]).to.deep.include({ running: { x: 3 }, limits: { g: 40.5 }, leaving });
-        expect(decoded.news[1]).to.deep.include({ host: "b", store });
+        expect(decoded.news[1]).to.deep.include({ host: "b", store, unserved: ["operator"] });
         expect(decodeEntryGossip(Buffer.from("no datagram of ours")).isErr()).to.equal(true);
     });
 });
--- a/tests/ingress/ingressDecisions.test.ts
+++ b/tests/ingress/ingressDecisions.test.ts
@@ -193,7 +193,7 @@
         running: { x: 3 },
         limits: { g: 40 },
         store: undefined,
-        isServed: true,
+        unserved: [],
         hasRead: false,
         leaving: {},
         demand: {},
--- a/tests/ingress/sharedPriority.test.ts
+++ b/tests/ingress/sharedPriority.test.ts
@@ -163,7 +163,7 @@
             limits: {},
             work: {},
             store: undefined,
-            isServed: true,
+            unserved: [],
             hasRead: true,
             leaving: {},
             statedLimits: {},
--- a/tests/ingress/storeMonitor.test.ts
+++ b/tests/ingress/topicFreshness.test.ts
@@ -5,6 +5,7 @@
 import { expect } from "chai";
 import type { FeedRecord } from "../../src/coordination/ingress/deploymentFeed.js";
 import type { DeploymentState } from "../../src/coordination/ingress/deploymentState.js";
+import { deploymentTopics } from "../../src/coordination/ingress/recordSource.js";
 import { type RecordFleet, startRecordFleet } from "../support/recordFleet.js";
 import { listedUpstream } from "../support/upstreams.js";
 
@@ -29,6 +30,10 @@
 
 const knows = (state: DeploymentState, id: string): boolean => state.all().some(known => known.id === id);
 
+/** By topic, the milliseconds since a time before which the entry has missed nothing. */
+const unconfirmedFor = (fleet: RecordFleet, entry: number): number[] =>
+    deploymentTopics.map(topic => fleet.clock.now() - (fleet.freshness(entry).confirmedAt(topic) ?? -Infinity));
+
 describe("store monitoring by many entries", () => {
     const callsPerSecond = async (isGossiping: boolean): Promise<number> => {
         const fleet = startRecordFleet({ entries, isGossiping });
@@ -87,11 +92,11 @@
         await fleet.clock.advance(3_000);
         fleet.setStoreFault(5, "refuses");
         await fleet.clock.advance(5_000);
-        expect(fleet.clock.now() - (fleet.monitor(5).lastContact() ?? -Infinity)).to.be.lessThan(1_000);
+        expect(Math.max(...unconfirmedFor(fleet, 5))).to.be.lessThan(1_000);
         list(fleet, 2);
         await fleet.clock.advance(500);
         expect(knows(fleet.states()[5]!, "u2")).to.equal(true);
-        expect(fleet.clock.now() - (fleet.monitor(5).lastContact() ?? -Infinity)).to.be.lessThan(1_000);
+        expect(Math.max(...unconfirmedFor(fleet, 5))).to.be.lessThan(1_000);
         fleet.stop();
     });
 
@@ -101,7 +106,7 @@
         fleet.setStoreFault(5, "refuses");
         fleet.isolate(5, true);
         await fleet.clock.advance(5_000);
-        expect(fleet.clock.now() - (fleet.monitor(5).lastContact() ?? -Infinity)).to.be.greaterThan(2_000);
+        expect(Math.min(...unconfirmedFor(fleet, 5))).to.be.greaterThan(2_000);
         fleet.stop();
     });
 
@@ -162,7 +167,9 @@
         fleet.silenceTopic("operator", true);
         await fleet.clock.advance(4_000);
         for (const entry of Array(entries).keys()) {
-            expect(fleet.clock.now() - (fleet.monitor(entry).lastContact() ?? -Infinity)).to.be.greaterThan(3_000);
+            const [operator, upstreams] = unconfirmedFor(fleet, entry);
+            expect(operator).to.be.greaterThan(3_000);
+            expect(upstreams).to.be.lessThan(1_200);
         }
         fleet.stop();
     });
--- a/tests/support/entryFleet.ts
+++ b/tests/support/entryFleet.ts
@@ -157,7 +157,7 @@
                 running: {},
                 limits: {},
                 store: undefined,
-                isServed: true,
+                unserved: [],
                 hasRead: false,
                 leaving: {},
                 demand: {},
--- a/tests/support/priorityFleet.ts
+++ b/tests/support/priorityFleet.ts
@@ -173,7 +173,7 @@
                 demand: hasFault(index, "earlier-build") ? undefined : urgencyShares.demand.all(),
                 work: {},
                 store: undefined,
-                isServed: true,
+                unserved: [],
                 hasRead: false,
                 leaving: {},
                 statedLimits: {},
--- a/tests/support/recordFleet.ts
+++ b/tests/support/recordFleet.ts
@@ -26,7 +26,7 @@
     type StoredRecord,
 } from "../../src/coordination/ingress/recordSource.js";
 import { createSharedRecords, type SharedRecords } from "../../src/coordination/ingress/sharedRecords.js";
-import { createStoreMonitor, type StoreMonitor } from "../../src/coordination/ingress/storeMonitor.js";
+import { createTopicFreshness, type TopicFreshness } from "../../src/coordination/ingress/topicFreshness.js";
 import type { Clock } from "../../src/state/types.js";
 import { type SteppedClock, steppedClock } from "./steppedClock.js";
 import { answerTimeoutMilliseconds, createStoreModel, type StoreModel, unavailable } from "./storeModel.js";
@@ -43,7 +43,7 @@
 export type RecordFleet = Omit<StoreModel, "sourceFor" | "isLost"> & {
     clock: SteppedClock;
     states: () => DeploymentState[];
-    monitor: (entry: number) => StoreMonitor;
+    freshness: (entry: number) => TopicFreshness;
     shared: (entry: number) => SharedRecords;
     /** Records that were sent between entries of different zones. */
     recordsAcrossZones: () => number;
@@ -60,7 +60,7 @@
     lifetime: AbortController;
     receive: (statuses: EntryStatus[]) => void;
     state: DeploymentState;
-    monitor: StoreMonitor;
+    freshness: TopicFreshness;
     shared: SharedRecords;
 };
 
@@ -133,7 +133,7 @@
         const ownClock: Clock = clock;
         const peerStatuses = createPeerStatusTable(ownClock, log);
         const knownEntries = new Map(known.filter(peer => peer.host !== host).map(peer => [peer.host, peer]));
-        const monitor = createStoreMonitor(ownClock, () => shared.storeTurn());
+        const freshness = createTopicFreshness(ownClock, () => shared.storeTurn());
         const shared: SharedRecords = createSharedRecords({
             host,
             availabilityZone,
@@ -143,15 +143,9 @@
                 knownEntries: isGossiping ? knownEntries : new Map(),
                 peerStatuses,
                 createSource: address => relayFrom(entry, Number(address)),
-                clock: ownClock,
             }),
-            onStoreContact: silentFor => {
-                monitor.recordContact();
-                if (silentFor > 500) {
-                    gossip.publishNow();
-                }
-            },
-            onServedChange: () => gossip.publishNow(),
+            freshness,
+            onNews: () => gossip.publishNow(),
             clock: ownClock,
             log,
             signal,
@@ -171,8 +165,8 @@
                 sequence: sequence += 1,
                 running: {},
                 limits: {},
-                store: monitor.readStatus(),
-                isServed: shared.isServed(),
+                store: freshness.readStatus(),
+                unserved: shared.unserved(),
                 hasRead: shared.hasRead(),
                 leaving: state.leavingToGossip(),
                 demand: {},
@@ -189,7 +183,7 @@
             store: shared.store,
             decode: (topic, record) => decode(record),
             sink: state,
-            storeMonitor: monitor,
+            freshness,
             originOf: () => undefined,
             clock: ownClock,
             log,
@@ -211,12 +205,12 @@
         return {
             lifetime,
             state,
-            monitor,
+            freshness,
             shared,
             receive: statuses => {
                 const others = statuses.filter(status => status.host !== host);
                 others.forEach(status => peerStatuses.record(status, ""));
-                others.flatMap(({ store }) => store ?? []).forEach(monitor.recordPeerStatus);
+                others.flatMap(({ store }) => store ?? []).forEach(freshness.recordPeerStatus);
                 others.flatMap(({ leaving }) => Object.entries(leaving)).forEach(([id, bornAt]) =>
                     state.markLeaving(id, bornAt, "another entry")
                 );
@@ -244,7 +238,7 @@
         clock,
         ...store,
         states: () => entries.flatMap(entry => entry?.state ?? []),
-        monitor: entry => entryAt(entry).monitor,
+        freshness: entry => entryAt(entry).freshness,
         shared: entry => entryAt(entry).shared,
         recordsAcrossZones: () => recordsAcrossZones,
         isolate: (entry, isIsolated) => void (isIsolated ? isolated.add(entry) : isolated.delete(entry)),
