--- a/tests/ingress/sharedRecords.test.ts
+++ b/tests/ingress/sharedRecords.test.ts
@@ -3,11 +3,20 @@
  * when readers die, freeze, hang or lose the store, and when the store comes back from an older copy.
  */
 import { expect } from "chai";
+import { err, ok } from "neverthrow";
 import type { FeedRecord } from "../../src/coordination/ingress/deploymentFeed.js";
 import type { DeploymentState } from "../../src/coordination/ingress/deploymentState.js";
+import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
 import { createRecordCache } from "../../src/coordination/ingress/recordCache.js";
-import type { StoredRecord } from "../../src/coordination/ingress/recordSource.js";
+import type {
+    FeedPosition,
+    FeedTopic,
+    RecordBatch,
+    StoredRecord,
+} from "../../src/coordination/ingress/recordSource.js";
+import { createSharedRecords } from "../../src/coordination/ingress/sharedRecords.js";
 import { chooseReadFrom, type ReaderCandidate, storeTurnOf } from "../../src/coordination/ingress/storeReaders.js";
+import { createTopicFreshness } from "../../src/coordination/ingress/topicFreshness.js";
 import type { Upstream } from "../../src/state/ingressTypes.js";
 import { type RecordFleet, startRecordFleet } from "../support/recordFleet.js";
 import { steppedClock } from "../support/steppedClock.js";
@@ -302,3 +311,49 @@
         expect(await failureAt(3, 0)).to.equal("unavailable");
     });
 });
+
+describe("complete reads", () => {
+    it("never take a draining upstream back to an earlier record of a source that lags", async () => {
+        const clock = steppedClock(0);
+        const lifetime = new AbortController();
+        const { signal } = lifetime;
+        const next = (offset: number): FeedPosition => ({ era: 1, offset });
+        const batchAt = (offset: number): RecordBatch => ({
+            records: [{ key: "u1", value: Buffer.from(offset < 8 ? "ready" : "draining"), offset: offset - 1 }],
+            next: next(offset),
+        });
+        const answers = [batchAt(9), batchAt(7), batchAt(7), batchAt(10)];
+        const asked: FeedTopic[] = [];
+        const shared = createSharedRecords({
+            host: "a1",
+            availabilityZone: "a",
+            store: {
+                readAll: async topic => {
+                    asked.push(topic);
+                    return ok(answers.shift() ?? batchAt(10));
+                },
+                readNewer: async () => err({ kind: "truncated", reason: "the history was deleted" }),
+            },
+            peers: {
+                candidates: () => [],
+                ahead: () => [],
+                unheard: () => [],
+                sourceOf: () => {
+                    throw new Error("there are no other entries");
+                },
+            },
+            freshness: createTopicFreshness(clock, () => 0),
+            onNews: () => undefined,
+            clock,
+            log: createIngressLog(() => undefined, clock),
+            signal,
+        });
+        await clock.advance(1_000);
+        expect((await shared.source.readAll("upstreams", signal))._unsafeUnwrap().next).to.deep.equal(next(9));
+        const secondRead = shared.source.readAll("upstreams", signal);
+        await clock.advance(2_000);
+        expect((await secondRead)._unsafeUnwrap().next).to.deep.equal(next(10));
+        expect(asked).to.have.length(4);
+        lifetime.abort();
+    });
+});
--- a/tests/ingress/topicFreshness.test.ts
+++ b/tests/ingress/topicFreshness.test.ts
@@ -162,6 +162,16 @@
         });
     }
 
+    it("applies a configuration within 2 s at entries that the store serves, while it is silent for the reader's zone", async () => {
+        const fleet = await startConfiguredFleet(3);
+        const silent = [...Array(entries).keys()].filter(entry => entry % 3 === 0);
+        silent.forEach(entry => fleet.setStoreFault(entry, "silent"));
+        await fleet.clock.advance(300);
+        fleet.write("operator", "config", configuration(2));
+        expect(await timeToApply(fleet, 2)).to.be.lessThan(2_000);
+        fleet.stop();
+    });
+
     it("knows that it may miss configurations while only the operator's partition is silent", async () => {
         const fleet = await startConfiguredFleet(3);
         fleet.silenceTopic("operator", true);
--- a/tests/support/recordFleet.ts
+++ b/tests/support/recordFleet.ts
@@ -42,7 +42,10 @@
 
 export type RecordFleet = Omit<StoreModel, "sourceFor" | "isLost"> & {
     clock: SteppedClock;
+    /** Of the running entries. */
     states: () => DeploymentState[];
+    /** Undefined while the entry isn't running. */
+    stateOf: (entry: number) => DeploymentState | undefined;
     freshness: (entry: number) => TopicFreshness;
     shared: (entry: number) => SharedRecords;
     /** Records that were sent between entries of different zones. */
@@ -237,6 +240,7 @@
     return {
         clock,
         ...store,
+        stateOf: entry => entries[entry]?.state,
         states: () => entries.flatMap(entry => entry?.state ?? []),
         freshness: entry => entryAt(entry).freshness,
         shared: entry => entryAt(entry).shared,
