--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -134,8 +134,10 @@
             if (listedUpstreams !== undefined && report !== undefined) {
                 const found: (Upstream | undefined)[] = new Array<undefined>(report.ranks).fill(undefined);
                 for (const record of listedUpstreams) {
-                    if (record.kind === "upstream" && record.upstream.group?.name === report.group) {
-                        found[record.upstream.group.rank] = record.upstream;
+                    const group = record.kind === "upstream" ? record.upstream.group : undefined;
+                    // A rank beyond the group's size would make a member of each number before it.
+                    if (record.kind === "upstream" && group?.name === report.group && group.rank < report.ranks) {
+                        found[group.rank] = record.upstream;
                     }
                 }
                 upstreamsByRank = found;
