Give the first evidence of a topic time to arrive before probing

An entry that has just read a topic from another one has no evidence for it until that entry's next status, and probed at once.

--- a/src/coordination/ingress/topicFreshness.ts
+++ b/src/coordination/ingress/topicFreshness.ts
@@ -56,6 +56,8 @@
 
 /** With a second probe by another entry, a change is noticed within 2 s, the shortest time that deployments allow for it. */
 const probeAfterMilliseconds = 850;
+/** Time after the first read within which the evidence of the entry that it was read from arrives. */
+const firstEvidenceMilliseconds = 300;
 /** The result of a probe reaches the other entries within a few milliseconds, or 0.1 s if a datagram is lost. */
 const probeStaggerMilliseconds = 60;
 /** Entries with later turns probe together with this one, by when several probes in a row have found no answer. */
@@ -114,6 +116,7 @@
 export const createTopicFreshness = (clock: Pick<Clock, "now">, probeOrder: () => number): TopicFreshness => {
     const judgements: Record<DeploymentTopic, Judgement> = { operator: judgeTopic(), upstreams: judgeTopic() };
     const answeredAt = new Map<FeedTopic, number>();
+    const firstReadAt = new Map<DeploymentTopic, number>();
 
     const answersOf = (topic: FeedTopic): number =>
         Math.max(
@@ -128,7 +131,12 @@
                 judgements[topic].recordEvidence({ end, at: askedAt });
             }
         },
-        recordRead: (topic, next) => judgements[topic].recordRead(next),
+        recordRead: (topic, next) => {
+            if (!firstReadAt.has(topic)) {
+                firstReadAt.set(topic, clock.now());
+            }
+            judgements[topic].recordRead(next);
+        },
         recordPeerStatus: ({ positions, confirmedAges }) => {
             for (const topic of deploymentTopics) {
                 const age = confirmedAges[topic];
@@ -142,8 +150,11 @@
                 ? answersOf(topic)
                 : Math.max(answersOf(topic), ...deploymentTopics.map(answersOf)),
         millisecondsUntilProbe: topic => {
-            const confirmedAt = judgements[topic].confirmedAt() ?? -Infinity;
-            const firstProbeIn = confirmedAt + probeAfterMilliseconds - clock.now();
+            const confirmedAt = judgements[topic].confirmedAt();
+            const probeAt = confirmedAt === undefined
+                ? (firstReadAt.get(topic) ?? clock.now()) + firstEvidenceMilliseconds
+                : confirmedAt + probeAfterMilliseconds;
+            const firstProbeIn = probeAt - clock.now();
             // The turn is costly to find among many entries, and matters only once the first probe is due.
             return firstProbeIn > 0
                 ? firstProbeIn
