Take a refusal for not run only if it names the request

Callers were told not run, try again for a request that the server went on to run, if the server wrote a refusal without a request's id in front of the answer: at all three statuses, and the request was sent to a second server as well. A refusal with another request's id was never believed. Each attempt has a connection of its own, so an earlier refusal can only come on the connection of its own request. The stand-in's 421 repeats the id now, as the servers' does.

--- a/src/coordination/ingress/upstreamAttempt.ts
+++ b/src/coordination/ingress/upstreamAttempt.ts
@@ -56,6 +56,9 @@
         return { kind: "broken", reason: "the response belongs to another request" };
     }
     if (metadata.isNotRun) {
+        if (metadata.requestId === undefined) {
+            return { kind: "broken", reason: `status ${status}, for no request that it names` };
+        }
         return { kind: status === misdirectedStatus ? "misdirected" : "not-run", reason: `status ${status}` };
     }
     return metadata.isSealed ? undefined : { kind: "broken", reason: `status ${status} without the upstream's seal` };
--- a/src/standin/sealedServer.ts
+++ b/src/standin/sealedServer.ts
@@ -265,7 +265,10 @@
             };
             receivedRequests.push(received);
             if (isMisdirected) {
-                response.writeHead(421, { [headerNames.answeringUpstream]: currentId });
+                response.writeHead(421, {
+                    [headerNames.answeringUpstream]: currentId,
+                    [headerNames.requestId]: requestId,
+                });
                 response.end();
                 return;
             }
