Keep text that is no event out of streams that go on at another server

Callers found an error's text, at times its whole head, in the middle of their stream: after a stream had broken off, a next server's response with status 200 was passed on as events whatever its type and content, and a response without a length brought what its server wrote after it, such as the head of an error. Responses with another status never were.

A stream now needs the type text/event-stream, and each event the form of one: lines that are fields or comments, and no head of a response in it. What isn't ends the attempt as broken off, so the stream goes on elsewhere or ends as cut.

--- a/src/coordination/ingress/headerAdapter.ts
+++ b/src/coordination/ingress/headerAdapter.ts
@@ -26,6 +26,8 @@
     isSealed: boolean;
     /** Whether the upstream states that it has not executed the request. */
     isNotRun: boolean;
+    /** Whether the body is a stream of events. */
+    isEventStream: boolean;
     /** Whether the upstream states that it is leaving. */
     isLeaving: boolean;
     /** How long it asks to be left alone, in seconds as it states them. */
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -38,7 +38,7 @@
 
 type AttemptResult =
     | { kind: "complete"; }
-    /** The upstream's own response with another status than 200, to be forwarded unchanged. */
+    /** The upstream's own response that is no stream, to be forwarded unchanged. */
     | { kind: "other"; response: UpstreamResponse; }
     | FailedAttempt;
 
@@ -69,6 +69,10 @@
         for await (const chunk of response.body) {
             pace.beginChunk();
             for (const event of splitter.push(chunk)) {
+                if (!event.isWellFormed) {
+                    response.close();
+                    return { kind: "broken", reason: "the stream holds bytes that are no event" };
+                }
                 if (!isNewer(event, progress)) {
                     continue;
                 }
@@ -153,7 +157,7 @@
             response.close();
             return fault;
         }
-        return response.status === okStatus
+        return response.status === okStatus && response.metadata.isEventStream
             ? relay(context, response, reservation, observed, progress, signal)
             : { kind: "other", response };
     };
@@ -306,7 +310,7 @@
                 // A caller that has received part of the stream can't be sent another response.
                 result = isFinalAttempt && !context.sink.hasStarted()
                     ? await forwardResponse(context, response)
-                    : { kind: "broken", reason: `status ${response.status}` };
+                    : { kind: "broken", reason: `status ${response.status}, no stream` };
                 response.close();
             }
             signal.removeEventListener("abort", endAttempt);
--- a/tests/support/crashingServerModel.ts
+++ b/tests/support/crashingServerModel.ts
@@ -116,6 +116,7 @@
                     requestId: undefined,
                     isSealed: true,
                     isNotRun: false,
+                    isEventStream: true,
                     isLeaving: false,
                     retryAfter: undefined,
                     requestsPerSecond: undefined,
