Refuse unknown routes and keys as such only while the configuration is known

An entry answered 404 and 401 for up to 3 s after the last moment before which it knew that it had missed nothing, while a change has to be in force after 2 s: between the two, a route that was added could be refused as unknown. The limit is 2 s now, the shortest time within which deployments require a change to be in force; beyond it the answer is 503, to be tried again.

--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -59,8 +59,8 @@
 
 /** Used for callers that state no timeout; the longest timeout of the deployments in use. */
 const defaultCallerTimeoutMilliseconds = 8_000;
-/** After this long without news of the configuration, an unknown route or key may have been added in the meantime. */
-const configurationStaleMilliseconds = 3_000;
+/** After this long without evidence, a change may be in force that adds the route or key; the shortest such time. */
+const configurationStaleMilliseconds = 2_000;
 /** Fraction of the permitted retry ratio that is used; the rest covers requests that upstreams reject on their own. */
 const usedRetryRatioFraction = 0.85;
 
