Handle no request that arrives on a connection that a stopping entry has ended

The head of a stream that began before the stop says keep-alive, so its caller sends the next request at once. The entry ended its side with the end of the stream, but went on reading, passed the booking on, and could not write its answer. What arrives on such a connection is dropped unhandled now, so the booking has not run.

--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -155,6 +155,8 @@
     let inProgress = 0;
     /** Connections without a request so far, with the time at which they were accepted. */
     const unusedConnections = new Map<Socket, number>();
+    /** Connections that this entry has ended: what still arrives on them could not be answered, and is not handled. */
+    const endedConnections = new WeakSet<Socket>();
     /** Requests of a connection that have no complete response yet; there are several if they are pipelined. */
     const openRequests = new Map<Socket, number>();
 
@@ -165,6 +167,7 @@
         // finish.
         response.once("finish", () => {
             if (isDraining && openRequests.get(message.socket) === 1) {
+                endedConnections.add(message.socket);
                 message.socket.end();
             }
         });
@@ -222,6 +225,10 @@
         keepAliveTimeout: defaultLimits.idleTimeoutMilliseconds + keepAliveMarginMilliseconds,
         noDelay: true,
     }, (message, response) => {
+        if (endedConnections.has(message.socket)) {
+            message.resume();
+            return;
+        }
         inProgress += 1;
         unusedConnections.delete(message.socket);
         openRequests.set(message.socket, (openRequests.get(message.socket) ?? 0) + 1);
--- a/tests/ingress/faultyAnswers.test.ts
+++ b/tests/ingress/faultyAnswers.test.ts
@@ -278,6 +278,46 @@
         ]);
     });
 
+    it("runs no booking that arrives on a connection which it ended behind a stream", async () => {
+        const streams = 40;
+        const model = await startSealedServer("i-model", { events: 60, eventMilliseconds: 10 });
+        deployment.listUpstream(model, "model", { slots: 100 });
+        await deployment.waitUntil(() =>
+            deployment.logLines.some(({ event, id }) => event === "upstream listed" && id === "i-model")
+        );
+        const fields = `${headerNames.tokenUsage}: 40,80\r\nContent-Length: 0\r\n\r\n`;
+        const answered = new Set<string>();
+        const follow = async (index: number): Promise<void> => {
+            const socket = await openCallerConnection();
+            const booking = `booking-${index}`;
+            socket.on("error", () => undefined);
+            let received = "";
+            socket.on("data", (chunk: Buffer) => {
+                received += chunk.toString();
+                if (received.endsWith("0\r\n\r\n")) {
+                    received = "";
+                    socket.write(requestText(booking).replace("GET /read/1", "POST /book/1"));
+                }
+                if (received.includes(`answer of i-0 to ${booking}`)) {
+                    answered.add(booking);
+                }
+            });
+            const closed = new Promise(resolve => socket.once("close", resolve));
+            socket.write(
+                requestText(`stream-${index}`).replace("GET /read/1", "POST /talk/1").replace(/\r\n$/, fields),
+            );
+            await closed;
+        };
+        const callers = [...Array(streams).keys()].map(follow);
+        await deployment.waitUntil(() => model.receivedRequests.length === streams);
+        const stopped = deployment.entry.stop();
+        await Promise.all(callers);
+        await stopped;
+        const ran = server.receivedRequests.map(({ requestId }) => requestId);
+        expect(ran.filter(requestId => !answered.has(requestId))).to.deep.equal([]);
+        await model.close();
+    });
+
     it("answers requests whose bodies arrive slowly", async () => {
         const [ip, port] = deployment.entry.addresses.callers.split(":");
         const stopped = deployment.entry.stop();
