Share the smallest configuration among the tests that only tell versions apart

Three tests of the ingress had the same fixture, two of them written with the freshness of configurations. No check changes; the three files pass.

--- a/tests/ingress/configurationFreshness.test.ts
+++ b/tests/ingress/configurationFreshness.test.ts
@@ -7,6 +7,7 @@
 import { expect } from "chai";
 import type { FeedRecord } from "../../src/coordination/ingress/deploymentFeed.js";
 import { deploymentTopics } from "../../src/coordination/ingress/recordSource.js";
+import { emptyConfiguration } from "../support/configurations.js";
 import { seededRandom } from "../support/random.js";
 import { type RecordFleet, startRecordFleet } from "../support/recordFleet.js";
 import { listedUpstream } from "../support/upstreams.js";
@@ -36,13 +37,7 @@
 
 const configuration = (version: number): FeedRecord => ({
     kind: "configuration",
-    configuration: {
-        version,
-        routes: [],
-        services: [],
-        accounts: [],
-        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
-    },
+    configuration: emptyConfiguration(version),
 });
 
 const between = (random: () => number, low: number, high: number): number => low + random() * (high - low);
--- a/tests/ingress/deploymentState.test.ts
+++ b/tests/ingress/deploymentState.test.ts
@@ -1,21 +1,14 @@
 import { expect } from "chai";
 import { createDeploymentState } from "../../src/coordination/ingress/deploymentState.js";
 import { createIngressLog } from "../../src/coordination/ingress/ingressLog.js";
-import type { IngressConfiguration, Upstream } from "../../src/state/ingressTypes.js";
+import type { Upstream } from "../../src/state/ingressTypes.js";
+import { emptyConfiguration } from "../support/configurations.js";
 import { listedUpstream } from "../support/upstreams.js";
 import { virtualClock } from "../support/virtualClock.js";
 
 const upstream = (id: string, fields: Partial<Upstream> = {}): Upstream =>
     listedUpstream({ id, service: "catalogue", ...fields });
 
-const configuration = (version: number): IngressConfiguration => ({
-    version,
-    routes: [],
-    services: [],
-    limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
-    accounts: [],
-});
-
 const open = () => {
     const clock = virtualClock();
     const state = createDeploymentState(clock, createIngressLog(() => undefined, clock));
@@ -27,8 +20,8 @@
 describe("deployment state", () => {
     it("never replaces a configuration by an older one, whatever its source", () => {
         const { state } = open();
-        expect(state.acceptConfiguration(configuration(7), "store")).to.equal(true);
-        expect(state.acceptConfiguration(configuration(6), "a peer")).to.equal(false);
+        expect(state.acceptConfiguration(emptyConfiguration(7), "store")).to.equal(true);
+        expect(state.acceptConfiguration(emptyConfiguration(6), "a peer")).to.equal(false);
         expect(state.routeTable()?.configuration.version).to.equal(7);
     });
 
--- a/tests/ingress/topicFreshness.test.ts
+++ b/tests/ingress/topicFreshness.test.ts
@@ -6,6 +6,7 @@
 import type { FeedRecord } from "../../src/coordination/ingress/deploymentFeed.js";
 import type { DeploymentState } from "../../src/coordination/ingress/deploymentState.js";
 import { deploymentTopics } from "../../src/coordination/ingress/recordSource.js";
+import { emptyConfiguration } from "../support/configurations.js";
 import { type RecordFleet, startRecordFleet } from "../support/recordFleet.js";
 import { listedUpstream } from "../support/upstreams.js";
 
@@ -17,13 +18,7 @@
 
 const configuration = (version: number): FeedRecord => ({
     kind: "configuration",
-    configuration: {
-        version,
-        routes: [],
-        services: [],
-        accounts: [],
-        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
-    },
+    configuration: emptyConfiguration(version),
 });
 
 const versionOf = (state: DeploymentState): number | undefined => state.routeTable()?.configuration.version;
