Name the store as the giver of a topic that the store itself was asked for

After a change of era or a dropped history a topic is read from the store, but the line and the check for lagging records went by the choice that had been passed over, so an entry that had given nothing could be left unread for 3 s, and topic read named it as the giver. Found on reading the change; the fleet's tests of the store's return pass as before. No test shows it alone.

--- a/src/coordination/ingress/sharedRecords.ts
+++ b/src/coordination/ingress/sharedRecords.ts
@@ -3,8 +3,8 @@
  * keeps what was read for the entries that read from this one.
  *
  * The choice is made anew for each poll, and a poll at another entry ends as soon as the choice changes: when that
- * entry falls silent, loses the store or answers nothing usable. A caller gets a failure only if no live entry is served by the store, so "unavailable" means an
- * outage and not the trouble of one entry.
+ * entry falls silent, loses the store or answers nothing usable. A caller gets a failure only if no live entry is
+ * served by the store, so "unavailable" means an outage and not the trouble of one entry.
  *
  * Topics are stored apart and may be silent one by one, so whom the store serves is decided for each of them.
  */
@@ -235,7 +235,7 @@
         let laggingSince: number | undefined;
         while (!callSignal.aborted) {
             const mustAskStore = topicsToReread.has(topic);
-            const choice = chooseFor(topic);
+            const choice: ReadFrom = mustAskStore && isServed(topic) ? { kind: "store" } : chooseFor(topic);
             // Other entries also know what the store has forgotten, so an entry that starts asks them first.
             const informed = mustAskStore || choice.kind === "peer"
                 ? undefined
@@ -245,7 +245,7 @@
                 ? await readFromInformed(informed.host, topic, callSignal)
                 : await readOnce(
                     topic,
-                    mustAskStore && isServed(topic) ? { kind: "store" } : choice,
+                    choice,
                     () => store.readAll(topic, callSignal),
                     (source, peerSignal) => source.readAll(topic, peerSignal),
                     callSignal,
