Decide by era and offset which copy of a record holds

Cause: the first complete read after the return applied all of the operator's records but evacuations, also those written since. A second complete read, 5 s later, was to bring them; it was made only if the clock had passed the deadline when the timer fired, and timers of Node.js fire up to 1 ms early. Entries that had started meanwhile, and removals of evacuations, depended on the same timer. Upstreams had a rule of their own, by start time and number, in the deployment state.

Change: recordOrder.ts decides for each key between what the store lists and what was known before, for all topics alike. Records at or after the offset at which an era is shown to start are newer than all of earlier eras; the start is the end of the topic when it was first read in the era, or the first offset that holds another record than before. Within the part that both logs share the offset tells, then revisions that writers give their records, and between an evacuation and its removal the evacuation. The record cache applies it, passes on what holds beside the store's list to entries that start or read from it, and the second read and its timer are gone. As a complete read shows no removals, the operator's log is read once beside it. A configuration that is written under the version of a lost one replaces it.

--- a/src/coordination/ingress/deploymentFeed.ts
+++ b/src/coordination/ingress/deploymentFeed.ts
@@ -7,19 +7,20 @@
  * another entry has read records that it has not delivered. Each topic is followed for itself, as the store may be silent
  * for one and answer for the other.
  *
- * After the store has come back from an older copy, what is missing there is not taken for removed at once: the operator
- * and the upstreams write their records again, and a second complete read then shows what has gone.
+ * Complete reads also bring records that hold though the store has forgotten them, as it came back from an older copy
+ * (see `recordOrder.ts`).
  */
 import type { Result } from "neverthrow";
 import type { IngressConfiguration, Upstream } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
 import type { IngressLog } from "./ingressLog.js";
+import type { RevisionOf } from "./recordOrder.js";
 import {
-    comparePositions,
     type DeploymentTopic,
     deploymentTopics,
     type FeedFailure,
     type FeedPosition,
+    isDeploymentTopic,
     type RecordBatch,
     type RecordSource,
     type StoredRecord,
@@ -36,11 +37,25 @@
 
 export type FeedDecoder = (topic: DeploymentTopic, record: StoredRecord) => FeedRecord;
 
+/** Configurations have versions; upstreams number their records, anew after each start. */
+export const createRevisionOf = (decode: FeedDecoder): RevisionOf => (topic, record) => {
+    const decoded = isDeploymentTopic(topic) ? decode(topic, record) : undefined;
+    switch (decoded?.kind) {
+        case "configuration":
+            return [decoded.configuration.version];
+        case "upstream":
+            return [decoded.upstream.bornAt, decoded.upstream.revision];
+        default:
+            return undefined;
+    }
+};
+
 export type FeedSink = {
-    /** Replaces the state of a topic by these records; what they don't contain is removed. */
-    replace: (topic: DeploymentTopic, records: FeedRecord[]) => void;
-    /** Takes over records of a store that came back from an older copy: nothing that is known goes back. */
-    restore: (topic: DeploymentTopic, records: FeedRecord[]) => void;
+    /**
+     * Replaces the state of a topic by these records; what they don't contain is removed. `unlisted`: records among them
+     * that the store's list lacks, as it came back from an older copy.
+     */
+    replace: (topic: DeploymentTopic, records: FeedRecord[], unlisted?: FeedRecord[]) => void;
     /** Applies records that follow those applied before. */
     apply: (records: FeedRecord[]) => void;
     /** The store answers no read of the topic to any entry, or does so again. */
@@ -58,9 +73,6 @@
 /** Interval between checks whether a probe is due. */
 const probeCheckIntervalMilliseconds = 50;
 
-/** Within this time after the store came back from an older copy, its records have been written again. */
-const restoreMilliseconds = 5_000;
-
 export type DeploymentFollowerOptions = {
     /** The store, or another entry that reads from it. */
     source: RecordSource;
@@ -88,9 +100,6 @@
     let isUnavailable = false;
     /** The position from which the topic is read on; undefined while it is to be read as a whole. */
     let position: FeedPosition | undefined;
-    /** The latest position that was read, also while the topic is to be read as a whole. */
-    let reached: FeedPosition | undefined;
-    let restoringUntil = -Infinity;
     let isLagCheckScheduled = false;
     let answeredPolls = 0;
     /** Aborts the running poll; `signal` does so too. */
@@ -132,34 +141,24 @@
             log.stateChange("operator records received", { records: records.length, ...next, from: originOf(topic) });
         }
         position = next;
-        reached = next;
         freshness.recordRead(topic, next);
     };
 
+    const decodeAll = (records: StoredRecord[]): FeedRecord[] => records.map(record => decode(topic, record));
+
     const takeAll = ({ records, next, forgotten = [] }: RecordBatch): void => {
-        const decoded = records.map(record => decode(topic, record));
-        const isFirst = reached === undefined;
-        const isOlderCopy = clock.now() < restoringUntil
-            || reached !== undefined && (next.era > reached.era || comparePositions(next, reached) < 0);
-        if (isOlderCopy) {
-            log.stateChange("store came back from an older copy", { topic, ...next, reached });
-            sink.restore(topic, decoded);
-        }
-        else {
-            sink.replace(topic, decoded);
+        const listedKeys = new Set(records.map(({ key }) => key));
+        const forgottenKeys = new Set(forgotten.map(({ key }) => key));
+        const listed = decodeAll([
+            ...records.filter(({ key }) => !forgottenKeys.has(key)),
+            ...forgotten.filter(({ key }) => listedKeys.has(key)),
+        ]);
+        const unlisted = decodeAll(forgotten.filter(({ key }) => !listedKeys.has(key)));
+        if (forgotten.length > 0) {
+            log.stateChange("records hold that the store has forgotten", { topic, keys: [...forgottenKeys], ...next });
         }
-        if (isFirst) {
-            sink.apply(forgotten.map(record => decode(topic, record)));
-        }
-        if (isOlderCopy || isFirst && forgotten.length > 0) {
-            restoringUntil = clock.now() + restoreMilliseconds;
-            void clock.sleep(restoreMilliseconds, signal).then(() => {
-                if (clock.now() >= restoringUntil) {
-                    readAgain();
-                }
-            });
-        }
-        advance(next, decoded);
+        sink.replace(topic, listed, unlisted);
+        advance(next, listed);
     };
 
     /** Takes records that were read on from a position; polls and probes overlap, so some may be known already. */
@@ -168,7 +167,7 @@
         if (known === undefined || known.era !== next.era || next.offset < known.offset) {
             return;
         }
-        const decoded = records.filter(({ offset }) => offset >= known.offset).map(record => decode(topic, record));
+        const decoded = decodeAll(records.filter(({ offset }) => offset >= known.offset));
         sink.apply(decoded);
         advance(next, decoded);
     };
--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -1,10 +1,12 @@
 /**
  * An entry's view of its deployment: the active configuration, evacuated zones and usable upstreams.
  *
- * A configuration is never replaced by an older one. Upstreams whose records expired while the store was unavailable
- * get a grace period after its return to register again before they count as gone. An upstream that says in a response
+ * A configuration is never replaced by one of a lower version. Upstreams whose records expired while the store was
+ * unavailable, or are missing as it came back from an older copy, get a grace period after its return to register again
+ * before they count as gone. An upstream that says in a response
  * that it is leaving gets nothing more until its next run, whatever the list says.
  */
+import { isDeepStrictEqual } from "node:util";
 import type { IngressConfiguration, Upstream } from "../../state/ingressTypes.js";
 import type { Clock } from "../../state/types.js";
 import type { FeedRecord, FeedSink } from "./deploymentFeed.js";
@@ -15,8 +17,8 @@
 /** Within this time after the store's return, live upstreams have registered again. */
 const relistGraceMilliseconds = 2_000;
 
-/** Upstreams that are remembered after their removal, and as leaving. */
-const maximumRememberedUpstreams = 1_000;
+/** Upstreams that are remembered as leaving. */
+const maximumLeavingUpstreams = 1_000;
 
 export type KnownUpstream = Upstream & {
     /** Set if its record is missing since an outage of the store: when it counts as gone unless it registers again. */
@@ -26,7 +28,10 @@
 export type DeploymentState = FeedSink & {
     /** Undefined until a configuration is known. */
     routeTable: () => RouteTable | undefined;
-    /** Activates a configuration from `source` unless an equally new or newer one is active; returns whether it did. */
+    /**
+     * Activates a configuration from `source` unless one of a higher version, or the same one, is active; returns whether it
+     * did.
+     */
     acceptConfiguration: (configuration: IngressConfiguration, source: string) => boolean;
     /**
      * Records that the run of an upstream that began at `bornAt` is leaving, as `source` tells. Ignored if the upstream
@@ -45,8 +50,6 @@
     let table: RouteTable | undefined;
     const evacuatedZones = new Set<string>();
     const upstreams = new Map<string, KnownUpstream>();
-    /** The latest known record of each upstream that was removed; a store that came back may list it once more. */
-    const removed = new Map<string, Upstream>();
     /** Start time of the run that is leaving, by upstream id. */
     const leaving = new Map<string, number>();
     let graceUntil = 0;
@@ -55,7 +58,11 @@
 
     const acceptConfiguration = (configuration: IngressConfiguration, source: string): boolean => {
         const known = table?.configuration.version;
-        if (known !== undefined && known >= configuration.version) {
+        if (known !== undefined && known > configuration.version) {
+            return false;
+        }
+        // A version whose record the store lost may be written once more with other contents.
+        if (known === configuration.version && isDeepStrictEqual(table?.configuration, configuration)) {
             return false;
         }
         table = compileRouteTable(configuration);
@@ -68,7 +75,6 @@
         if (upstream.bornAt > (leaving.get(upstream.id) ?? Infinity)) {
             leaving.delete(upstream.id);
         }
-        removed.delete(upstream.id);
         upstreams.set(upstream.id, { ...upstream, goneAt: undefined });
         if (known === undefined || known.isDraining !== upstream.isDraining || known.bornAt !== upstream.bornAt) {
             const { id, service, address, availabilityZone, isDraining, coldMilliseconds } = upstream;
@@ -85,18 +91,13 @@
         }
     };
 
-    const dropOldest = (remembered: Map<string, unknown>): void => {
-        const [oldest] = remembered.keys();
-        if (remembered.size > maximumRememberedUpstreams && oldest !== undefined) {
-            remembered.delete(oldest);
+    const dropOldestLeaving = (): void => {
+        const [oldest] = leaving.keys();
+        if (leaving.size > maximumLeavingUpstreams && oldest !== undefined) {
+            leaving.delete(oldest);
         }
     };
 
-    const remember = (upstream: Upstream): void => {
-        removed.set(upstream.id, upstream);
-        dropOldest(removed);
-    };
-
     const removeUpstream = (id: string, reason: string): void => {
         const known = upstreams.get(id);
         if (known === undefined) {
@@ -108,7 +109,6 @@
         }
         else {
             upstreams.delete(id);
-            remember(known);
         }
         log.stateChange("upstream unlisted", {
             id,
@@ -161,32 +161,28 @@
         },
     };
 
-    /** Whether a record was written before what is known of its upstream. */
-    const isOutdated = ({ id, bornAt, revision }: Upstream): boolean => {
-        const known = upstreams.get(id) ?? removed.get(id);
-        return known !== undefined
-            && (bornAt < known.bornAt || bornAt === known.bornAt && revision < known.revision
-                || bornAt === known.bornAt && revision === known.revision && !upstreams.has(id));
+    /** Upstreams that the store has forgotten count as gone after a while unless they register again. */
+    const keepUnlisted = (upstream: Upstream): void => {
+        const goneAt = upstreams.get(upstream.id)?.goneAt ?? clock.now() + relistGraceMilliseconds;
+        upsertUpstream(upstream);
+        upstreams.set(upstream.id, { ...upstream, goneAt });
+        log.stateChange("upstream unlisted", {
+            id: upstream.id,
+            service: upstream.service,
+            reason: "the store came back from an older copy",
+            keptFor: relistGraceMilliseconds,
+        });
     };
 
-    const restoreTopic: Record<DeploymentTopic, (records: FeedRecord[]) => void> = {
-        // Zones that are known to be evacuated stay so, and those known to be in use, until the operator writes again.
-        operator: records =>
-            apply(records.filter(record => record.kind !== "zone-evacuated" && record.kind !== "zone-returned")),
-        upstreams: records => {
-            apply(records.filter(record => record.kind !== "upstream" || !isOutdated(record.upstream)));
-            const listed = new Set(records.flatMap(record => record.kind === "upstream" ? record.upstream.id : []));
-            const goneAt = clock.now() + relistGraceMilliseconds;
-            [...upstreams.values()].filter(({ id }) => !listed.has(id)).forEach(upstream => {
-                upstreams.set(upstream.id, { ...upstream, goneAt: upstream.goneAt ?? goneAt });
-                log.stateChange("upstream unlisted", {
-                    id: upstream.id,
-                    service: upstream.service,
-                    reason: "the store came back from an older copy",
-                    keptFor: relistGraceMilliseconds,
-                });
-            });
-        },
+    const applyUnlisted: Record<DeploymentTopic, (records: FeedRecord[]) => void> = {
+        // They hold until the operator writes again.
+        operator: apply,
+        upstreams: records =>
+            records.forEach(record => {
+                if (record.kind === "upstream") {
+                    keepUnlisted(record.upstream);
+                }
+            }),
     };
 
     const isUsable = ({ id, isDraining, goneAt, availabilityZone }: KnownUpstream): boolean =>
@@ -194,11 +190,11 @@
         && (goneAt === undefined || isListUnavailable || clock.now() < goneAt);
 
     return {
-        replace: (topic, records) => {
-            removeUnlisted[topic](records);
+        replace: (topic, records, unlisted = []) => {
+            removeUnlisted[topic]([...records, ...unlisted]);
             apply(records);
+            applyUnlisted[topic](unlisted);
         },
-        restore: (topic, records) => restoreTopic[topic](records),
         apply,
         markLeaving: (id, bornAt, source) => {
             const known = upstreams.get(id);
@@ -206,7 +202,7 @@
                 return;
             }
             leaving.set(id, bornAt);
-            dropOldest(leaving);
+            dropOldestLeaving();
             log.stateChange("upstream leaving", { id, service: known.service, source, isDraining: known.isDraining });
         },
         leavingToGossip: () =>
--- a/src/coordination/ingress/recordSource.ts
+++ b/src/coordination/ingress/recordSource.ts
@@ -37,21 +37,37 @@
 /** An empty value removes the key. */
 export type StoredRecord = { key: string; value: Buffer; offset: number; };
 
+/** A record as it was known in an era of the store. */
+export type DatedRecord = StoredRecord & {
+    era: number;
+    /** For a removal: the value that it removed, if it was known. */
+    removedValue?: Buffer | undefined;
+};
+
 export type RecordBatch = {
     records: StoredRecord[];
     next: FeedPosition;
     /**
-     * Records of earlier eras that the store has forgotten and whose keys have not been written since; only in complete
-     * reads from another entry.
+     * Records of earlier eras that hold rather than what `records` has of their keys, as the store came back from a copy
+     * without them; only in complete reads (see `recordOrder.ts`).
      */
-    forgotten?: StoredRecord[];
+    forgotten?: DatedRecord[];
+    /** By era, the position from which on records were written in that era or later; only in complete reads. */
+    eraStarts?: FeedPosition[];
+    /** Digests of the topic's log by offset, also of records that are no longer the newest of their key. */
+    digests?: [number, string][];
 };
 
 /**
  * `truncated`: the topic can't be read on from that position, since its records were deleted or belong to an earlier
  * era; it must be read again as a whole.
  */
-export type FeedFailure = { kind: "truncated" | "unavailable"; reason: string; };
+export type FeedFailure = {
+    kind: "truncated" | "unavailable";
+    reason: string;
+    /** For `truncated`: the first offset that can be read, if the store says so. */
+    firstOffset?: number | undefined;
+};
 
 export type RecordSource = {
     /** The newest record of each key. */
--- a/src/coordination/ingress/sharedRecords.ts
+++ b/src/coordination/ingress/sharedRecords.ts
@@ -10,10 +10,12 @@
  */
 import { err, type Result } from "neverthrow";
 import type { Clock } from "../../state/types.js";
-import type { TopicState } from "./configurationGauges.js";
+import { describeTopics, type TopicState } from "./configurationGauges.js";
 import type { IngressLog } from "./ingressLog.js";
 import { createOutageTurns } from "./outageTurns.js";
 import { createRecordCache, type RecordCache } from "./recordCache.js";
+import { readHistory } from "./recordHistory.js";
+import type { RevisionOf } from "./recordOrder.js";
 import {
     comparePositions,
     type DeploymentTopic,
@@ -63,6 +65,7 @@
     store: RecordSource;
     peers: RecordPeers;
     freshness: TopicFreshness;
+    revisionOf: RevisionOf;
     /** Called when the other entries should soon hear what the store answered, or that it did not. */
     onNews: () => void;
     clock: Clock;
@@ -88,8 +91,8 @@
 const laggingRetryMilliseconds = 200;
 
 export const createSharedRecords = (options: SharedRecordsOptions): SharedRecords => {
-    const { host, availabilityZone, peers, freshness, onNews, clock, log, signal } = options;
-    const cache = createRecordCache(clock);
+    const { host, availabilityZone, peers, freshness, revisionOf, onNews, clock, log, signal } = options;
+    const cache = createRecordCache(clock, revisionOf);
     const startedAt = clock.now();
     const avoidedUntil = new Map<string, number>();
     /** Topics that the store itself must be asked for, as it came back from an older copy or dropped its history. */
@@ -264,7 +267,10 @@
             }
             if (result?.isOk()) {
                 topicsToReread.delete(topic);
-                cache.replace(topic, result.value);
+                const history = origin === "store"
+                    ? await readHistory(options.store, topic, cache.positionOf(topic), result.value.next, callSignal)
+                    : [];
+                cache.replace(topic, result.value, history);
                 origins.set(topic, origin);
                 log.stateChange("topic read", {
                     topic,
@@ -275,7 +281,7 @@
                 });
             }
             if (result !== undefined) {
-                return result;
+                return result.isOk() ? cache.readAll(topic, callSignal) : result;
             }
         }
         return unavailable("the read was aborted");
@@ -407,18 +413,6 @@
         unserved,
         hasRead,
         storeTurn: () => storeTurn("upstreams"),
-        topicStates: () =>
-            feedTopics.map(topic => {
-                const answeredAt = storeAccess.answeredAt(topic);
-                const confirmedAt = isDeploymentTopic(topic) ? freshness.confirmedAt(topic) : undefined;
-                return {
-                    topic,
-                    position: cache.positionOf(topic),
-                    from: origins.get(topic),
-                    storeAnswerAge: answeredAt === undefined ? undefined : Math.round(clock.now() - answeredAt),
-                    confirmedAge: confirmedAt === undefined ? undefined : Math.round(clock.now() - confirmedAt),
-                    isServed: isServed(topic),
-                };
-            }),
+        topicStates: () => describeTopics({ cache, storeAccess, freshness, origins, clock }),
     };
 };
--- a/src/protocol/recordRelayRouter.ts
+++ b/src/protocol/recordRelayRouter.ts
@@ -8,6 +8,7 @@
 import { deflateRawSync } from "node:zlib";
 import { z } from "zod";
 import {
+    type DatedRecord,
     type FeedFailure,
     feedTopics,
     type RecordBatch,
@@ -22,11 +23,15 @@
 const positionSchema = z.object({ era: z.int(), offset: z.int() });
 /** `value` is the deflated value in base64, or empty. */
 const recordSchema = z.object({ key: z.string(), value: z.string(), offset: z.int() });
+/** `removedValue`: for a removal, what it removed; encoded as `value`. */
+const datedRecordSchema = recordSchema.extend({ era: z.int(), removedValue: z.string().optional() });
 const answerSchema = z.union([
     z.object({
         records: z.array(recordSchema),
         next: positionSchema,
-        forgotten: z.array(recordSchema).optional(),
+        forgotten: z.array(datedRecordSchema).optional(),
+        eraStarts: z.array(positionSchema).optional(),
+        digests: z.array(z.tuple([z.int(), z.string()])).optional(),
     }),
     z.object({ failure: z.enum(["truncated", "unavailable"]), reason: z.string() }),
 ]);
@@ -55,22 +60,38 @@
     offset,
 });
 
+const encodeDatedRecord = (record: DatedRecord): z.infer<typeof datedRecordSchema> => ({
+    ...encodeRecord(record),
+    era: record.era,
+    ...record.removedValue === undefined ? {} : { removedValue: encodeValue(record.removedValue) },
+});
+
 const encodeAnswer = (result: Result<RecordBatch, FeedFailure>): RelayAnswer =>
     result.match<RelayAnswer>(
-        ({ records, next, forgotten = [] }) => ({
+        ({ records, next, forgotten = [], eraStarts = [], digests = [] }) => ({
             records: records.map(encodeRecord),
             next,
-            ...forgotten.length === 0 ? {} : { forgotten: forgotten.map(encodeRecord) },
+            ...forgotten.length === 0 ? {} : { forgotten: forgotten.map(encodeDatedRecord) },
+            ...eraStarts.length === 0 ? {} : { eraStarts },
+            ...digests.length === 0 ? {} : { digests },
         }),
         ({ kind, reason }) => ({ failure: kind, reason }),
     );
 
+const decodeValue = (value: string): Buffer =>
+    value === "" ? Buffer.alloc(0) : inflateBounded(Buffer.from(value, "base64"))._unsafeUnwrap();
+
 /** Throws if a value can't be inflated; the caller treats that as an entry that gave no usable answer. */
 export const decodeRelayRecords = (records: z.infer<typeof recordSchema>[]): StoredRecord[] =>
-    records.map(({ key, value, offset }) => ({
-        key,
-        value: value === "" ? Buffer.alloc(0) : inflateBounded(Buffer.from(value, "base64"))._unsafeUnwrap(),
-        offset,
+    records.map(({ key, value, offset }) => ({ key, value: decodeValue(value), offset }));
+
+/** As `decodeRelayRecords`, for records of earlier eras. */
+export const decodeDatedRecords = (records: z.infer<typeof datedRecordSchema>[]): DatedRecord[] =>
+    records.map(({ era, removedValue, ...record }) => ({
+        ...record,
+        value: decodeValue(record.value),
+        era,
+        removedValue: removedValue === undefined ? undefined : decodeValue(removedValue),
     }));
 
 export type RecordRelayContext = { records: RecordSource; signal: AbortSignal; };
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -6,7 +6,7 @@
 import { setMaxListeners } from "node:events";
 import { configurationGauges } from "../../coordination/ingress/configurationGauges.js";
 import { createCostRouting } from "../../coordination/ingress/costRouting.js";
-import { followDeployment } from "../../coordination/ingress/deploymentFeed.js";
+import { createRevisionOf, followDeployment } from "../../coordination/ingress/deploymentFeed.js";
 import { createDeploymentState } from "../../coordination/ingress/deploymentState.js";
 import type { PeerEntry } from "../../coordination/ingress/gossipSchedule.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
@@ -105,6 +105,7 @@
             createSource: createRelayedSource,
         }),
         freshness,
+        revisionOf: createRevisionOf(platform.decode),
         onNews: () => gossip.publishNow(),
         clock,
         log,
--- a/src/transport/ingress/recordRelay.ts
+++ b/src/transport/ingress/recordRelay.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { FeedFailure, RecordBatch, RecordSource } from "../../coordination/ingress/recordSource.js";
 import {
+    decodeDatedRecords,
     decodeRelayRecords,
     recordRelayEndpoint,
     type RecordRelayRouter,
@@ -22,7 +23,9 @@
         : ok({
             records: decodeRelayRecords(answer.records),
             next: answer.next,
-            forgotten: decodeRelayRecords(answer.forgotten ?? []),
+            forgotten: decodeDatedRecords(answer.forgotten ?? []),
+            eraStarts: answer.eraStarts ?? [],
+            digests: answer.digests ?? [],
         });
 
 /** Reads the records of the entry that serves them at `address` (`ip:port`). */
--- a/tests/ingress/sharedRecords.test.ts
+++ b/tests/ingress/sharedRecords.test.ts
@@ -287,7 +287,7 @@
     const { signal } = new AbortController();
 
     it("tell who continues what changed and what was removed, also by a complete read", async () => {
-        const cache = createRecordCache(steppedClock(0));
+        const cache = createRecordCache(steppedClock(0), () => undefined);
         cache.replace("upstreams", {
             records: [record("x", "1", 0), record("y", "1", 1)],
             next: { era: 1, offset: 2 },
@@ -300,7 +300,7 @@
     });
 
     it("are not continued from a position before the first complete read or in another era", async () => {
-        const cache = createRecordCache(steppedClock(0));
+        const cache = createRecordCache(steppedClock(0), () => undefined);
         cache.replace("operator", { records: [], next: { era: 2, offset: 10 } });
         const failureAt = async (era: number, offset: number): Promise<string> =>
             (await cache.readNewer("operator", { era, offset }, 0, signal))._unsafeUnwrapErr().kind;
@@ -343,6 +343,7 @@
                 },
             },
             freshness: createTopicFreshness(clock, () => 0),
+            revisionOf: () => undefined,
             onNews: () => undefined,
             clock,
             log: createIngressLog(() => undefined, clock),
--- a/tests/support/recordFleet.ts
+++ b/tests/support/recordFleet.ts
@@ -8,6 +8,7 @@
 import type { Result } from "neverthrow";
 import { setMaxListeners } from "node:events";
 import {
+    createRevisionOf,
     type DeploymentFollower,
     type FeedRecord,
     followDeployment,
@@ -148,6 +149,7 @@
                 createSource: address => relayFrom(entry, Number(address)),
             }),
             freshness,
+            revisionOf: createRevisionOf((topic, record) => decode(record)),
             onNews: () => gossip.publishNow(),
             clock: ownClock,
             log,
--- a/tests/support/storeModel.ts
+++ b/tests/support/storeModel.ts
@@ -133,7 +133,7 @@
                     const isKnown = from.era === era && from.offset >= firstOffset && from.offset <= records.length;
                     return isKnown
                         ? ok(recordsFrom(topic, from.offset))
-                        : err({ kind: "truncated", reason: "no such offset" });
+                        : err({ kind: "truncated", reason: "no such offset", firstOffset });
                 }),
         };
     };
