Keep what the operator's log held at the start, for the next era

A complete read shows the newest record of each key only, so the entry didn't know what the lower offsets had held.

Change: the log before the first complete read is read once, in the background, unless the list shows all of it; its digests are kept, and passed on to entries that start.

--- a/src/coordination/ingress/recordCache.ts
+++ b/src/coordination/ingress/recordCache.ts
@@ -29,6 +29,8 @@
      * with removals, which a complete read of the store doesn't show.
      */
     replace: (topic: FeedTopic, batch: RecordBatch, history?: StoredRecord[]) => void;
+    /** Keeps the digests of earlier records of the same era. */
+    addHistory: (topic: FeedTopic, era: number, history: StoredRecord[]) => void;
     /** Adds records that follow those known. */
     append: (topic: FeedTopic, batch: RecordBatch) => void;
     positionOf: (topic: FeedTopic) => FeedPosition | undefined;
@@ -250,6 +252,12 @@
 
     return {
         replace,
+        addHistory: (topic, era, history) => {
+            const known = topics.get(topic);
+            if (known?.next.era === era) {
+                rememberDigests(known.digests, digestsOf(history));
+            }
+        },
         append,
         positionOf: topic => topics.get(topic)?.next,
         forgotten: topic => {
--- a/src/coordination/ingress/recordHistory.ts
+++ b/src/coordination/ingress/recordHistory.ts
@@ -1,24 +1,24 @@
 /**
- * Reads what the store still has of a topic's log, at the start and after the store came back from an older copy.
+ * Takes over complete reads of a topic, with what the store still has of the topic's log.
  *
  * A complete read shows no removals: an evacuation that it lacks may have been lost with the copy, or taken back since. The
  * log tells, as long as the store keeps it, by its removals and by the offsets that were given out again. Only the
  * operator's records are read so; for the others nothing depends on it.
  */
-import type { FeedPosition, FeedTopic, RecordSource, StoredRecord } from "./recordSource.js";
+import type { RecordCache } from "./recordCache.js";
+import type { FeedTopic, RecordBatch, RecordSource, StoredRecord } from "./recordSource.js";
 
 /** One read is enough for a megabyte. */
 const maximumReads = 8;
 
-/** Unless `end` is of the same era as `known`: the records before it that the store still has, as far as it answers. */
-export const readHistory = async (
+/** The records before the end of a complete read that the store still has, as far as it answers. */
+const readHistory = async (
     store: RecordSource,
     topic: FeedTopic,
-    known: FeedPosition | undefined,
-    end: FeedPosition,
+    { records, next: end }: RecordBatch,
     signal: AbortSignal,
 ): Promise<StoredRecord[]> => {
-    const isNeeded = topic === "operator" && known?.era !== end.era;
+    const isNeeded = topic === "operator" && records.length < end.offset;
     const history: StoredRecord[] = [];
     let offset = 0;
     for (let reads = 0; isNeeded && reads < maximumReads && offset < end.offset; reads += 1) {
@@ -32,3 +32,24 @@
     }
     return history.filter(record => record.offset < end.offset);
 };
+
+/**
+ * Puts a complete read into the cache. `store`: absent if another entry was read. In a new era what holds depends on the
+ * history, so it is read first; at the start it is only kept for the next era.
+ */
+export const takeCompleteRead = async (
+    cache: RecordCache,
+    store: RecordSource | undefined,
+    topic: FeedTopic,
+    batch: RecordBatch,
+    signal: AbortSignal,
+): Promise<void> => {
+    const known = cache.positionOf(topic);
+    const history = store === undefined || known?.era === batch.next.era
+        ? Promise.resolve([])
+        : readHistory(store, topic, batch, signal);
+    cache.replace(topic, batch, known === undefined ? [] : await history);
+    if (known === undefined) {
+        void history.then(records => cache.addHistory(topic, batch.next.era, records));
+    }
+};
--- a/src/coordination/ingress/sharedRecords.ts
+++ b/src/coordination/ingress/sharedRecords.ts
@@ -14,7 +14,7 @@
 import type { IngressLog } from "./ingressLog.js";
 import { createOutageTurns } from "./outageTurns.js";
 import { createRecordCache, type RecordCache } from "./recordCache.js";
-import { readHistory } from "./recordHistory.js";
+import { takeCompleteRead } from "./recordHistory.js";
 import type { RevisionOf } from "./recordOrder.js";
 import {
     comparePositions,
@@ -267,10 +267,8 @@
             }
             if (result?.isOk()) {
                 topicsToReread.delete(topic);
-                const history = origin === "store"
-                    ? await readHistory(options.store, topic, cache.positionOf(topic), result.value.next, callSignal)
-                    : [];
-                cache.replace(topic, result.value, history);
+                const historySource = origin === "store" ? options.store : undefined;
+                await takeCompleteRead(cache, historySource, topic, result.value, callSignal);
                 origins.set(topic, origin);
                 log.stateChange("topic read", {
                     topic,
