Refuse in a planned stop what can't finish, and answer what is unfinished

Cause: the stop had a time at which connections were destroyed and nothing that looked ahead to it. Requests were handled as soon as they were read, whatever was before them on their connection, and connections were ended with the last answer.

Change: plannedStop.ts. In the first 3 s, in which callers can't know of the stop, requests are taken; afterwards only those that are due before the last answers, 0.5 s before the end; others get 503 "stopping", not run, Connection: close. At the last call, unfinished requests get 502 and unread ones 503. callerConnections.ts handles the requests of a connection one after the other, and leaves it open for 0.5 s for the request that follows an answer with keep-alive. A request whose time has passed before its turn is refused, and a stream whose admission was aborted gets an answer. The log says what a stop finished, refused and cut ("requests of the stop").

--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -11,6 +11,7 @@
 import type { CrashEvidenceTable } from "./crashEvidenceTable.js";
 import type { CrashObserver } from "./crashObserver.js";
 import type { IngressLog } from "./ingressLog.js";
+import { stopReason } from "./plannedStop.js";
 import type { RequestCosts } from "./requestCosts.js";
 import type { RequestTraits } from "./requestTraits.js";
 import type { StreamCost } from "./streamCost.js";
@@ -134,7 +135,8 @@
     { signal, callerGone, responseDueAt }: Pick<RequestContext, "signal" | "callerGone" | "responseDueAt">,
     now: number,
 ): ErrorCode =>
-    !callerGone.aborted && (signal.aborted || now >= responseDueAt - timerToleranceMilliseconds)
+    signal.reason !== stopReason && !callerGone.aborted
+        && (signal.aborted || now >= responseDueAt - timerToleranceMilliseconds)
         ? "no-answer-in-time"
         : "interrupted";
 
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -280,10 +280,8 @@
         retryBudget.recordRequest();
         const admitted = await admission.enter(context);
         if (admitted.isErr()) {
-            if (!signal.aborted) {
-                const { kind, retryAfterMilliseconds, details } = admitted.error;
-                failRequest(context, dependencies, kind, details, retryAfterMilliseconds);
-            }
+            const { kind, retryAfterMilliseconds, details } = admitted.error;
+            failRequest(context, dependencies, kind, details, retryAfterMilliseconds);
             return;
         }
         let reservation: StreamReservation | undefined = admitted.value;
--- a/src/state/errors.ts
+++ b/src/state/errors.ts
@@ -53,6 +53,7 @@
     "upstream-full": entry(503, "not-run", upstream => `upstream "${upstream}" is at its limit`),
     "upstream-draining": entry(503, "not-run", upstream => `upstream "${upstream}" is draining`),
     "log-unavailable": entry(503, "not-run", stream => `log stream "${stream}" is not available`),
+    "stopping": entry(503, "not-run", host => `host "${host}" is stopping and can't finish the request in time`),
     "not-ready": entry(503, "not-run", host => `host "${host}" has not read its settings yet`),
     "deadline-passed": entry(504, "not-run", () => "the deadline passed before the request started"),
     "internal": entry(500, "unknown", host => `host "${host}" failed to answer the request`),
@@ -72,7 +73,7 @@
     message: string;
     status: number;
     outcome: Outcome;
-    /** Delay after which the caller may retry, in whole seconds. */
+    /** Delay after which the caller may retry, in seconds. */
     retryAfterSeconds?: number;
 };
 
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -5,7 +5,7 @@
  * the request is still in transit, and the body can be sent again in a retry.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import { type HeldBytes, requestOverheadBytes } from "../../coordination/ingress/bufferBudget.js";
 import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
 import type { ResponseSink } from "../../coordination/ingress/requestContext.js";
@@ -15,6 +15,7 @@
 import { splitAddress } from "../address.js";
 import { disconnectSignal, sendClientError } from "../httpServer.js";
 import type { Buffering } from "./buffering.js";
+import { createCallerConnections } from "./callerConnections.js";
 import { paceSink } from "./pacedSink.js";
 import { openRequestBuffers, type RequestBuffers } from "./requestBuffers.js";
 
@@ -28,16 +29,18 @@
     buffers: RequestBuffers | undefined;
     /** When the request headers arrived, on the monotonic clock. */
     arrivedAt: number;
+    /** Whether the request was sent before an earlier one on its connection had been answered. */
+    isBehindOthers: boolean;
 };
 
 export type CallerServer = {
     /** The bound `ip:port`. */
     address: string;
-    /** From now on, connections are closed after their current response. */
+    /** From now on, responses announce that their connection closes. */
     startDraining: () => void;
-    /** Accepts no new connections and closes idle ones. */
+    /** Accepts no new connections and ends those on which no request is open or expected. */
     closeIdle: () => void;
-    /** Whether a request is being read or handled, or a connection was accepted whose first request may be on its way. */
+    /** Whether a request is being read or handled, or may be on its way. */
     isBusy: () => boolean;
     close: () => void;
 };
@@ -53,8 +56,6 @@
 const keepAliveMarginMilliseconds = 2_000;
 /** A caller that leaves this much of its response unread is disconnected, as the response would fill the memory. */
 const maximumUnreadBytes = 4_194_304;
-/** A caller sends its first request as soon as its connection is established. */
-const firstRequestMilliseconds = 500;
 /** Enough for all callers of a zone to reconnect at once after a restart. */
 const listenBacklog = 1_024;
 
@@ -130,6 +131,10 @@
 
 export type CallerServerOptions = {
     address: string;
+    /** This entry, for error messages. */
+    host: string;
+    /** Aborts when requests that have not been read completely are to be refused. */
+    lastCall: AbortSignal;
     headerAdapter: HeaderAdapter;
     limits: () => CallerLimits | undefined;
     /** Whether connections should be closed after each response, so that callers reconnect to another entry. */
@@ -144,6 +149,8 @@
 export const startCallerServer = async (options: CallerServerOptions): Promise<CallerServer> => {
     const {
         address,
+        host,
+        lastCall,
         headerAdapter,
         limits,
         shouldCloseConnections,
@@ -153,28 +160,20 @@
     } = options;
     let isDraining = false;
     let inProgress = 0;
-    /** Connections without a request so far, with the time at which they were accepted. */
-    const unusedConnections = new Map<Socket, number>();
-    /** Connections that this entry has ended: what still arrives on them could not be answered, and is not handled. */
-    const endedConnections = new WeakSet<Socket>();
-    /** Requests of a connection that have no complete response yet; there are several if they are pipelined. */
-    const openRequests = new Map<Socket, number>();
+    const connections = createCallerConnections();
 
-    const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const serve = async (
+        message: IncomingMessage,
+        response: ServerResponse,
+        answersBefore: Promise<void>,
+    ): Promise<void> => {
         const arrivedAt = performance.now();
+        const isBehindOthers = !connections.hasOneRequest(message.socket);
         response.on("error", onError);
-        // A response that started before draining has announced keep-alive; another request on its connection could not
-        // finish.
-        response.once("finish", () => {
-            if (isDraining && openRequests.get(message.socket) === 1) {
-                endedConnections.add(message.socket);
-                message.socket.end();
-            }
-        });
         const requestId = message.headers[headerAdapter.requestIdHeader];
         const announceClose = (): void => {
             // A connection with further requests that have been read stays open for their responses.
-            if ((isDraining || shouldCloseConnections()) && openRequests.get(message.socket) === 1) {
+            if ((isDraining || shouldCloseConnections()) && connections.hasOneRequest(message.socket)) {
                 response.shouldKeepAlive = false;
             }
         };
@@ -198,6 +197,11 @@
         const sink = buffers === undefined
             ? unpacedSink
             : paceSink(unpacedSink, response, buffers, () => performance.now());
+        const refuseUnread = (): void => {
+            if (!sink.hasStarted()) {
+                sink.refuse(refusal("stopping", [host], 0));
+            }
+        };
         try {
             buffers?.held.add(requestOverheadBytes);
             const refuseSpent = (): void => {
@@ -205,16 +209,22 @@
                     sink.refuse(buffering.refuse(message));
                 }
             };
+            lastCall.addEventListener("abort", refuseUnread);
             const body = await readBody(message, bodyBytes, buffers?.held, refuseSpent);
+            lastCall.removeEventListener("abort", refuseUnread);
             if (body === undefined) {
                 if (!sink.hasStarted()) {
                     sink.refuse(refusal("body-too-large", [String(bodyBytes)]));
                 }
                 return;
             }
-            await handle({ message, body, sink, callerGone, buffers, arrivedAt });
+            await answersBefore;
+            if (!sink.hasStarted() && !message.socket.destroyed) {
+                await handle({ message, body, sink, callerGone, buffers, arrivedAt, isBehindOthers });
+            }
         }
         finally {
+            lastCall.removeEventListener("abort", refuseUnread);
             buffers?.held.close();
         }
     };
@@ -225,24 +235,13 @@
         keepAliveTimeout: defaultLimits.idleTimeoutMilliseconds + keepAliveMarginMilliseconds,
         noDelay: true,
     }, (message, response) => {
-        if (endedConnections.has(message.socket)) {
+        const answersBefore = connections.begin(message.socket, response);
+        if (answersBefore === undefined) {
             message.resume();
             return;
         }
         inProgress += 1;
-        unusedConnections.delete(message.socket);
-        openRequests.set(message.socket, (openRequests.get(message.socket) ?? 0) + 1);
-        // Counts a request until its response has been sent, which is later than its handling ends if it was pipelined.
-        response.once("close", () => {
-            const remaining = (openRequests.get(message.socket) ?? 1) - 1;
-            if (remaining === 0) {
-                openRequests.delete(message.socket);
-            }
-            else {
-                openRequests.set(message.socket, remaining);
-            }
-        });
-        serve(message, response)
+        serve(message, response, answersBefore)
             .catch((error: unknown) => {
                 // The caller disconnected while its request was read, or the handler failed; no complete response is
                 // possible.
@@ -256,8 +255,7 @@
     server.on("clientError", sendClientError);
     server.on("connection", (socket: Socket) => {
         socket.on("error", () => socket.destroy());
-        unusedConnections.set(socket, performance.now());
-        socket.once("close", () => unusedConnections.delete(socket));
+        connections.add(socket);
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
@@ -270,14 +268,11 @@
             isDraining = true;
         },
         closeIdle: () => {
-            server.close();
-            server.closeIdleConnections();
-        },
-        isBusy: () => {
-            const acceptedSince = performance.now() - firstRequestMilliseconds;
-            return inProgress > 0 || openRequests.size > 0
-                || [...unusedConnections.values()].some(acceptedAt => acceptedAt > acceptedSince);
+            // The HTTP server's own method would also close connections on which a request is expected.
+            NetServer.prototype.close.call(server);
+            connections.endIdle();
         },
+        isBusy: () => inProgress > 0 || connections.isBusy(),
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -11,6 +11,7 @@
 import type { PeerEntry } from "../../coordination/ingress/gossipSchedule.js";
 import { createIngressLog } from "../../coordination/ingress/ingressLog.js";
 import { createPeerStatusTable } from "../../coordination/ingress/peerStatusTable.js";
+import { createPlannedStop } from "../../coordination/ingress/plannedStop.js";
 import { createRecordPeers } from "../../coordination/ingress/recordPeers.js";
 import { createRecoveryWait } from "../../coordination/ingress/recoveryWait.js";
 import type { RequestContext, RequestDependencies } from "../../coordination/ingress/requestContext.js";
@@ -171,7 +172,7 @@
     const runUnary = createUnaryTask(unaryScheduler, responseTimes, dependencies);
     const buffering = startBuffering(platform, config, { clock, log, metrics, random: Math.random, signal });
     const incarnation = randomUUID();
-    let isStopping = false;
+    const plannedStop = createPlannedStop(config.graceSeconds * 1_000, clock, log);
     let wasReady = false;
 
     const runningByUpstream = (): Record<string, number> =>
@@ -231,7 +232,7 @@
         clock.now() - (freshness.confirmedAt("operator") ?? -Infinity) > configurationStaleMilliseconds;
 
     const handle = async (
-        { message, body, sink, callerGone, buffers, arrivedAt }: CallerRequest,
+        { message, body, sink, callerGone, buffers, arrivedAt, isBehindOthers }: CallerRequest,
     ): Promise<void> => {
         const envelope = platform.headerAdapter.readEnvelope(message);
         const table = state.routeTable();
@@ -253,7 +254,19 @@
         const service = chooseService(route, Math.random()) ?? "";
         const patienceMilliseconds = envelope.patienceMilliseconds ?? defaultCallerTimeoutMilliseconds;
         const responseDueAt = arrivedAt + Math.min(patienceMilliseconds, route.timeoutMilliseconds);
+        const refusedWith = clock.now() >= responseDueAt
+            ? refusal("deadline-passed")
+            : plannedStop.admits(responseDueAt, isBehindOthers)
+            ? undefined
+            : refusal("stopping", [config.host], 0);
+        if (refusedWith !== undefined) {
+            log.failure(envelope.requestId, "refused", { code: refusedWith.code, route: route.name, service });
+            metrics.count(`ingress_failures_total{code="${refusedWith.code}"}`);
+            sink.refuse(refusedWith);
+            return;
+        }
         const boundedSignal = createTimeoutSignal(callerGone, responseDueAt - clock.now());
+        const endTracking = plannedStop.track(boundedSignal.abort);
         const context: RequestContext = {
             envelope,
             traits: requestTraits(envelope, service, account?.name, body),
@@ -274,8 +287,13 @@
         sink.setDueAt?.(responseDueAt);
         context.cost = route.kind === "streaming" ? requestCosts.streamCost(context) : undefined;
         metrics.count(`ingress_requests_total{kind="${route.kind}"}`);
-        await (route.kind === "streaming" ? runStream : runUnary)(context);
-        boundedSignal.dispose();
+        try {
+            await (route.kind === "streaming" ? runStream : runUnary)(context);
+        }
+        finally {
+            boundedSignal.dispose();
+            endTracking();
+        }
         if (callerGone.aborted && buffers?.wasEnded() !== true) {
             metrics.count("ingress_callers_gone_total");
             log.request(envelope.requestId, "caller disconnected", {
@@ -290,6 +308,8 @@
 
     const callers = await startCallerServer({
         address: config.callers,
+        host: config.host,
+        lastCall: plannedStop.lastCall,
         headerAdapter: platform.headerAdapter,
         limits: () => state.routeTable()?.configuration.limits,
         shouldCloseConnections: isCutOff,
@@ -298,12 +318,12 @@
         buffering,
     });
     const isReady = (): boolean => {
-        const isReadyNow = !isStopping && state.routeTable() !== undefined && crashEvidenceSync.isSettled()
+        const isReadyNow = !plannedStop.hasBegun() && state.routeTable() !== undefined && crashEvidenceSync.isSettled()
             && !isCutOff();
         if (isReadyNow !== wasReady) {
             wasReady = isReadyNow;
             const details = {
-                isStopping,
+                isStopping: plannedStop.hasBegun(),
                 configuration: state.routeTable()?.configuration.version,
                 entries: peerStatuses.entries(),
             };
@@ -340,8 +360,8 @@
     return {
         addresses: { callers: callers.address, readiness: readiness.address, metrics: metricsServer.address },
         stop: async () => {
-            isStopping = true;
-            await drainCallers(callers, config.graceSeconds * 1_000, clock, signal);
+            plannedStop.begin();
+            await drainCallers(callers, plannedStop, clock, signal);
             await Promise.all([readiness.close(), metricsServer.close(), peerServer.close()]);
         },
     };
--- a/src/transport/timeoutSignal.ts
+++ b/src/transport/timeoutSignal.ts
@@ -7,6 +7,7 @@
 
 export type TimeoutSignal = {
     readonly signal: AbortSignal;
+    readonly abort: (reason: Error) => void;
     /** Restarts the timeout. */
     readonly restart: () => void;
     /** Removes the timer and the listener; must be called when the operation has ended. */
@@ -29,5 +30,10 @@
         clearTimeout(timer);
         parent.removeEventListener("abort", abort);
     };
-    return { signal: controller.signal, restart: () => void timer.refresh(), dispose: release };
+    return {
+        signal: controller.signal,
+        abort: reason => controller.abort(reason),
+        restart: () => void timer.refresh(),
+        dispose: release,
+    };
 };
