Take no answer for whole whose transfer coding doesn't tell its end

Seen by a test after the report of answers that stopped halfway and were framed as whole: an answer with a seal and "Transfer-Encoding: identity", "gzip" or "chunked, gzip", cut in its body by the end of its connection, was passed on with 200 as a whole body. "gzip, chunked" was passed on still coded, without the field that says so.

Cause: any transfer coding counted as framing; only chunked delimits a body, and others are not decoded here.

--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -54,8 +54,11 @@
     held: HeldBytes | undefined,
 ) => {
     // An upstream that dies closes its connections like one that has finished, so a response that is delimited only by
-    // the end of its connection can't be verified as complete.
-    const isFramed = ["content-length", "transfer-encoding"].some(name => message.headers[name] !== undefined);
+    // the end of its connection can't be verified as complete. Other transfer codings are not decoded here.
+    const coding = message.headers["transfer-encoding"];
+    const isFramed = coding === undefined
+        ? message.headers["content-length"] !== undefined
+        : coding.trim().toLowerCase() === "chunked";
     let isComplete = false;
     const chunks: Buffer[] = [];
     let isEnded = false;
