Tell apart in logs and metrics why an answer was taken for cut off

The reasons "the event stream was cut off" and "the response was cut off" stood for seven cases, so the users' record could not tell an unmarked end from a server that broke off, and "requests of the stop" counted failed requests as finished.

An attempt that failed for its body now logs how the body's end is marked, what ended it, its bytes and those of an unfinished event, and ingress_bodies_cut_total counts them by both. A failure behind the last byte of a body whose end is marked no longer concerns it. No other decision changes.

--- a/src/coordination/ingress/plannedStop.ts
+++ b/src/coordination/ingress/plannedStop.ts
@@ -32,7 +32,7 @@
      */
     admits: (dueAt: number, isBehindOthers: boolean) => boolean;
     /** Counts a request that is in progress; `abort` is called at the end of the stop. Returns what ends it. */
-    track: (abort: (reason: Error) => void) => () => void;
+    track: (abort: (reason: Error) => void) => (hasFailed: boolean) => void;
     /** Waits for the time to answer unfinished requests, unless `isBusy` returns false before. */
     waitForRequests: (isBusy: () => boolean, checkMilliseconds: number, signal: AbortSignal) => Promise<void>;
 };
@@ -42,7 +42,7 @@
     const lastCall = new AbortController();
     setMaxListeners(0, lastCall.signal);
     const running = new Set<(reason: Error) => void>();
-    const counts = { finished: 0, refused: 0, cut: 0 };
+    const counts = { finished: 0, failed: 0, refused: 0, cut: 0 };
     const endsAt = (): number => (begunAt ?? Infinity) + graceMilliseconds - shutdownMarginMilliseconds;
     const lastCallAt = (): number => endsAt() - finalAnswersMilliseconds;
 
@@ -61,8 +61,10 @@
         },
         track: abort => {
             running.add(abort);
-            return () => {
-                counts.finished += running.delete(abort) && begunAt !== undefined ? 1 : 0;
+            return hasFailed => {
+                if (running.delete(abort) && begunAt !== undefined) {
+                    counts[hasFailed ? "failed" : "finished"] += 1;
+                }
             };
         },
         waitForRequests: async (isBusy, checkMilliseconds, signal) => {
--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -65,6 +65,8 @@
     signal: AbortSignal;
     /** Aborts when the caller disconnects. */
     callerGone: AbortSignal;
+    /** Whether it ended without a whole answer although an upstream may have executed it. */
+    hasFailed?: boolean;
 };
 
 export type RequestDependencies = {
@@ -112,17 +114,22 @@
         isUnreachable: boolean;
         durationMilliseconds: number;
         isOwnDoing?: boolean | undefined;
+        ending?: FailedAttempt["ending"] | undefined;
     },
 ): void => {
-    const { kind, reason, isUnreachable, durationMilliseconds, isOwnDoing } = failedAttempt;
+    const { kind, reason, isUnreachable, durationMilliseconds, isOwnDoing, ending } = failedAttempt;
     if (isOwnDoing !== true) {
         health.recordFailure(upstreamId, isUnreachable, reason);
     }
     metrics.count(`ingress_sendings_lost_total{kind="${kind}"}`);
+    if (ending !== undefined) {
+        metrics.count(`ingress_bodies_cut_total{framing="${ending.framing}",end="${ending.end}"}`);
+    }
     log.request(requestId, "attempt failed", {
         upstream: upstreamId,
         kind,
         reason,
+        ...ending,
         afterMilliseconds: Math.round(durationMilliseconds),
     });
 };
@@ -145,12 +152,13 @@
  * caller that has disconnected gets none.
  */
 export const failRequest = (
-    { sink, envelope, route, service, arrivedAt, callerGone }: RequestContext,
+    context: RequestContext,
     { clock, log, metrics }: RequestDependencies,
     code: ErrorCode,
     details: Record<string, unknown>,
     retryAfterMilliseconds?: number,
 ): void => {
+    const { sink, envelope, route, service, arrivedAt, callerGone } = context;
     if (callerGone.aborted) {
         return;
     }
@@ -158,6 +166,7 @@
         ? undefined
         : Math.round(retryAfterMilliseconds) / millisecondsPerSecond;
     const error = refusal(code, [service], retryAfterSeconds);
+    context.hasFailed = error.outcome !== "not-run";
     metrics.count(`ingress_failures_total{code="${code}"}`);
     log.failure(envelope.requestId, error.outcome === "not-run" ? "refused" : "failed", {
         code,
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -29,6 +29,7 @@
     type FailedAttempt,
     findResponseFault,
     isUpstreamAbsent,
+    isWholeBody,
     type UpstreamResponse,
 } from "./upstreamAttempt.js";
 
@@ -119,8 +120,9 @@
             }
         }
         held?.add(-heldPendingBytes);
-        if (!response.isComplete() || splitter.pendingBytes() > 0) {
-            return { kind: "broken", reason: "the event stream was cut off", isOwnDoing: pace.wasHeldBack() };
+        const ending = { ...response.ending(), pendingBytes: splitter.pendingBytes() };
+        if (!isWholeBody(ending) || ending.pendingBytes > 0) {
+            return { kind: "broken", reason: "the event stream was cut off", isOwnDoing: pace.wasHeldBack(), ending };
         }
         if (!sink.hasStarted()) {
             sink.start(response.status, response.headers);
@@ -169,7 +171,7 @@
     ): Promise<AttemptResult> => {
         const chunks = await readFullBody(response, held);
         if (chunks === undefined) {
-            return { kind: "broken", reason: "the response was cut off" };
+            return { kind: "broken", reason: "the response was cut off", ending: response.ending() };
         }
         sink.start(response.status, response.headers);
         chunks.forEach(sink.write);
@@ -209,6 +211,7 @@
                 isUnreachable: isUpstreamAbsent(result),
                 durationMilliseconds: clock.now() - sentAt,
                 isOwnDoing: result.isOwnDoing,
+                ending: result.ending,
             });
             if (result.kind !== "misdirected" && result.isOwnDoing !== true) {
                 reservation.recordFailure(result.reason);
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -61,7 +61,7 @@
     if (body === undefined) {
         return held?.wasExceeded() === true
             ? { kind: "broken", reason: "the response exceeds the memory left for answers", isOwnDoing: true }
-            : { kind: "broken", reason: "the response was cut off" };
+            : { kind: "broken", reason: "the response was cut off", ending: response.ending() };
     }
     return { kind: response.status >= serverErrorStatus ? "failed" : "final", response, body };
 };
@@ -221,6 +221,7 @@
                     isUnreachable,
                     durationMilliseconds,
                     isOwnDoing: result.kind !== "failed" && result.isOwnDoing,
+                    ending: result.kind === "failed" ? undefined : result.ending,
                 };
                 recordFailedAttempt(dependencies, envelope.requestId, upstream.id, failedAttempt);
             }
--- a/src/coordination/ingress/upstreamAttempt.ts
+++ b/src/coordination/ingress/upstreamAttempt.ts
@@ -23,8 +23,28 @@
     reason: string;
     /** Whether this entry may have caused it, so that it says nothing about the upstream. */
     isOwnDoing?: boolean;
+    /** How the body ended that isn't whole; `pendingBytes` are those of an event without an end. */
+    ending?: BodyEnding & { pendingBytes?: number; };
 };
 
+/**
+ * How the end of a body is marked: by its length, by the last of its chunks, or by the end of its connection;
+ * `other-coding`: by a transfer coding that isn't decoded.
+ */
+export type BodyFraming = "length" | "chunks" | "connection" | "other-coding";
+
+/**
+ * What ended a body. `marked`: the end that its framing states; `closed`: the upstream closed the connection; `reset`: the
+ * connection failed; `silent`: no data for too long; `invalid`: bytes that are no HTTP; `abandoned`: this entry closed it.
+ */
+export type BodyEnd = "marked" | "closed" | "reset" | "silent" | "invalid" | "abandoned";
+
+/** `end` is undefined until the body has ended. */
+export type BodyEnding = { framing: BodyFraming; end: BodyEnd | undefined; bodyBytes: number; };
+
+/** Whether the body arrived completely. An upstream that dies closes its connections like one that has finished. */
+export const isWholeBody = ({ framing, end }: BodyEnding): boolean => end === "marked" && framing !== "other-coding";
+
 export type UpstreamResponse = {
     status: number;
     metadata: ResponseMetadata;
@@ -32,8 +52,8 @@
     headers: string[];
     /** The body as it arrives; ends early, without an exception, if the response is cut off. */
     body: AsyncIterable<Buffer>;
-    /** Whether the body arrived completely; true only after its end. */
-    isComplete: () => boolean;
+    /** How the body ended. */
+    ending: () => BodyEnding;
     /** Ends the attempt and closes its connection. */
     close: () => void;
 };
@@ -97,7 +117,7 @@
             chunks.push(chunk);
         }
         bytesAtOnce -= length;
-        if (response.isComplete()) {
+        if (isWholeBody(response.ending())) {
             return chunks;
         }
         held?.add(-counted);
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -292,7 +292,7 @@
         }
         finally {
             boundedSignal.dispose();
-            endTracking();
+            endTracking(context.hasFailed === true);
         }
         if (callerGone.aborted && buffers?.wasEnded() !== true) {
             metrics.count("ingress_callers_gone_total");
--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -9,7 +9,14 @@
 import { connect, type Socket } from "node:net";
 import type { HeldBytes } from "../../coordination/ingress/bufferBudget.js";
 import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
-import type { SendToUpstream, TransportFailure, UpstreamResponse } from "../../coordination/ingress/upstreamAttempt.js";
+import type {
+    BodyEnd,
+    BodyEnding,
+    BodyFraming,
+    SendToUpstream,
+    TransportFailure,
+    UpstreamResponse,
+} from "../../coordination/ingress/upstreamAttempt.js";
 import { splitAddress } from "../address.js";
 import type { RequestBuffers } from "./requestBuffers.js";
 
@@ -43,6 +50,15 @@
         socket.once("connect", () => settle(ok(socket)));
     });
 
+/** How the end of the body is marked. Transfer codings other than chunked are not decoded here. */
+const framingOf = ({ headers }: IncomingMessage): BodyFraming => {
+    const coding = headers["transfer-encoding"];
+    if (coding !== undefined) {
+        return coding.trim().toLowerCase() === "chunked" ? "chunks" : "other-coding";
+    }
+    return headers["content-length"] === undefined ? "connection" : "length";
+};
+
 /**
  * Reads the body of a response, with a timeout between chunks. With an account, the connection is read only as fast as
  * the body, and the timeout is suspended while it isn't read.
@@ -53,29 +69,29 @@
     idleMilliseconds: number,
     held: HeldBytes | undefined,
 ) => {
-    // An upstream that dies closes its connections like one that has finished, so a response that is delimited only by
-    // the end of its connection can't be verified as complete. Other transfer codings are not decoded here.
-    const coding = message.headers["transfer-encoding"];
-    const isFramed = coding === undefined
-        ? message.headers["content-length"] !== undefined
-        : coding.trim().toLowerCase() === "chunked";
-    let isComplete = false;
+    const framing = framingOf(message);
+    let bodyBytes = 0;
+    let end: BodyEnd | undefined;
     const chunks: Buffer[] = [];
-    let isEnded = false;
     let wakeReader: (() => void) | undefined;
     const notifyReader = (): void => {
         wakeReader?.();
         wakeReader = undefined;
     };
-    const endBody = (error: Error | undefined): void => {
-        if (!isEnded) {
-            isEnded = true;
-            isComplete = error === undefined && message.complete && isFramed;
+    const endBody = (seen: BodyEnd): void => {
+        if (end === undefined) {
+            end = seen;
             clearTimeout(timer);
             removeGauge?.();
             notifyReader();
         }
     };
+    /** A failure behind the last byte of a body whose end is marked doesn't concern it. */
+    const failBody = (seen: BodyEnd): void => {
+        if (!message.complete || framing === "connection") {
+            endBody(seen);
+        }
+    };
     let unreadBytes = 0;
     let isPaused = false;
     // Node reads on for a while after a pause.
@@ -97,12 +113,13 @@
         if (isPaused) {
             return;
         }
-        endBody(new Error(`no data for ${Math.round(idleMilliseconds)} ms`));
+        endBody("silent");
         socket.destroy();
     }, idleMilliseconds);
-    socket.once("error", error => endBody(error));
+    socket.once("error", () => failBody("reset"));
     message.on("data", (chunk: Buffer) => {
         timer.refresh();
+        bodyBytes += chunk.length;
         if (held === undefined) {
             chunks.push(chunk);
         }
@@ -117,10 +134,10 @@
         }
         notifyReader();
     });
-    message.once("error", error => endBody(error));
-    message.once("aborted", () => endBody(new Error("the connection was reset")));
-    message.once("end", () => endBody(undefined));
-    message.once("close", () => endBody(new Error("the connection was closed")));
+    message.once("error", () => endBody("closed"));
+    message.once("aborted", () => endBody("closed"));
+    message.once("end", () => endBody(message.complete && framing !== "connection" ? "marked" : "closed"));
+    message.once("close", () => endBody("closed"));
 
     async function* read(): AsyncGenerator<Buffer> {
         try {
@@ -131,7 +148,7 @@
                     unreadBytes -= chunk.length;
                     yield chunk;
                 }
-                else if (isEnded) {
+                else if (end !== undefined) {
                     return;
                 }
                 else {
@@ -147,7 +164,11 @@
         }
     }
 
-    return { body: read(), isComplete: () => isComplete };
+    return {
+        body: read(),
+        ending: (): BodyEnding => ({ framing, end, bodyBytes }),
+        fail: failBody,
+    };
 };
 
 /** Adds the server at the other end of `socket` as the reader of the request's body; returns a function that ends it. */
@@ -189,7 +210,9 @@
                 // Node's client accepts a flat list of raw headers, which its types don't declare.
                 headers: headers as unknown as Record<string, string>,
             });
+            let bodyReader: ReturnType<typeof readBody> | undefined;
             const close = (): void => {
+                bodyReader?.fail("abandoned");
                 clearTimeout(timer);
                 signal.removeEventListener("abort", close);
                 stopWatching?.();
@@ -209,13 +232,18 @@
                 timeouts.headersMilliseconds,
             );
             signal.addEventListener("abort", close, { once: true });
-            outgoing.on("error", error => failAttempt(error.message));
+            outgoing.on("error", error => {
+                failAttempt(error.message);
+                bodyReader?.fail(
+                    (error as NodeJS.ErrnoException).code?.startsWith("HPE_") === true ? "invalid" : "reset",
+                );
+            });
             outgoing.once("close", () => failAttempt("the connection was closed before a response"));
             outgoing.once("response", message => {
                 isAnswered = true;
                 clearTimeout(timer);
                 stopWatching?.();
-                const bodyReader = readBody(message, socket, timeouts.idleMilliseconds, buffers?.held);
+                bodyReader = readBody(message, socket, timeouts.idleMilliseconds, buffers?.held);
                 const response: UpstreamResponse = {
                     status: message.statusCode ?? 0,
                     metadata: headerAdapter.readResponseMetadata(message),
@@ -224,7 +252,7 @@
                         message.headers["content-type"]?.startsWith("text/event-stream") === true,
                     ),
                     body: bodyReader.body,
-                    isComplete: bodyReader.isComplete,
+                    ending: bodyReader.ending,
                     close,
                 };
                 socket.once("close", () => signal.removeEventListener("abort", close));
--- a/tests/ingress/cutAnswers.test.ts
+++ b/tests/ingress/cutAnswers.test.ts
@@ -7,6 +7,7 @@
 import type { Socket } from "node:net";
 import { headerNames } from "../../platform/names.js";
 import { platformHeaderAdapter } from "../../platform/requestHeaders.js";
+import { isWholeBody } from "../../src/coordination/ingress/upstreamAttempt.js";
 import { createSender } from "../../src/transport/ingress/upstreamSender.js";
 import { startPlatformDeployment } from "../support/platformDeployment.js";
 import { answer, head, startScriptedServer } from "../support/scriptedServer.js";
@@ -49,7 +50,7 @@
     for await (const part of sent.value.body) {
         // Only the end of the body tells whether it is whole.
     }
-    return sent.value.isComplete();
+    return isWholeBody(sent.value.ending());
 };
 
 describe("an answer that stops", () => {
--- a/tests/ingress/limitedRetry.test.ts
+++ b/tests/ingress/limitedRetry.test.ts
@@ -57,7 +57,8 @@
             const body = (async function*() {
                 yield Buffer.from("whole");
             })();
-            return ok({ status: 200, metadata, headers: [], body, isComplete: () => true, close: () => undefined });
+            const ending = () => ({ framing: "length", end: "marked", bodyBytes: 5 });
+            return ok({ status: 200, metadata, headers: [], body, ending, close: () => undefined });
         },
         sink: {
             start: () => undefined,
--- a/tests/ingress/plannedStop.test.ts
+++ b/tests/ingress/plannedStop.test.ts
@@ -180,8 +180,9 @@
 describe("requests that a stopping entry takes", () => {
     const start = () => {
         const clock = steppedClock(0);
-        const stop = createPlannedStop(8_000, clock, createIngressLog(() => undefined, clock));
-        return { clock, stop };
+        const lines: Record<string, unknown>[] = [];
+        const log = createIngressLog((event, fields) => void lines.push({ event, ...fields }), clock);
+        return { clock, stop: createPlannedStop(8_000, clock, log), lines };
     };
 
     it("are all before the signal, whenever they are due", () => {
@@ -205,6 +206,17 @@
         expect(stop.admits(7_500, true)).to.equal(true);
     });
 
+    it("count as failed, not as finished, if they ended without a whole answer", async () => {
+        const { clock, stop, lines } = start();
+        stop.begin();
+        stop.track(() => undefined)(true);
+        stop.track(() => undefined)(false);
+        stop.track(() => undefined)(false);
+        void stop.waitForRequests(() => false, 50, new AbortController().signal);
+        await clock.advance(50);
+        expect(lines).to.deep.include({ event: "requests of the stop", finished: 2, failed: 1, refused: 0, cut: 0 });
+    });
+
     it("are none once the last answers are given, and a second signal changes nothing", async () => {
         const { clock, stop } = start();
         const lifetime = new AbortController();
--- a/tests/support/crashingServerModel.ts
+++ b/tests/support/crashingServerModel.ts
@@ -5,7 +5,7 @@
 import { err, ok } from "neverthrow";
 import { setMaxListeners } from "node:events";
 import type { KnownUpstream } from "../../src/coordination/ingress/deploymentState.js";
-import type { SendToUpstream } from "../../src/coordination/ingress/upstreamAttempt.js";
+import type { BodyEnd, SendToUpstream } from "../../src/coordination/ingress/upstreamAttempt.js";
 import type { Clock } from "../../src/state/types.js";
 import { listedUpstream } from "./upstreams.js";
 
@@ -92,7 +92,7 @@
             if (ended.aborted) {
                 return err({ kind: "broken", reason: "the connection was closed before a response" });
             }
-            let isComplete = false;
+            let end: BodyEnd = "closed";
             async function* body(): AsyncGenerator<Buffer> {
                 if (isBad(request)) {
                     await clock.sleep(crashAfterMilliseconds, ended);
@@ -108,7 +108,7 @@
                     }
                     yield Buffer.from(`id: ${event}\ndata: piece\n\n`);
                 }
-                isComplete = true;
+                end = "marked";
             }
             return ok({
                 status: 200,
@@ -123,7 +123,7 @@
                 },
                 headers: [],
                 body: body(),
-                isComplete: () => isComplete,
+                ending: () => ({ framing: "chunks", end, bodyBytes: 0 }),
                 close: () => undefined,
             });
         };
