Add one rule for what a process reads from its peers

Bounds by kind of read: a largest size, an own pace, a share of the process's allowance, a budget for what is kept, and a number of interim responses.

--- /dev/null
+++ b/src/coordination/peerReads.ts
@@ -0,0 +1,133 @@
+/**
+ * Bounds what a process reads from its peers: servers, the store, engines, other entries and agents.
+ *
+ * A peer may send bytes without end, well-formed or not. Each read has a largest size by its kind, and a pace: what a
+ * sound peer sends passes at once, and what comes faster draws on one allowance of the whole process. When that is spent,
+ * fast reads go on at their own pace. Bytes that are kept until a read is complete share one budget too.
+ */
+import type { Clock } from "../state/types.js";
+
+/**
+ * `answer`: a server's whole answer; `stream`: its event stream; `store`: a response of the platform's store or log;
+ * `report`: a probe, load report or other small response; `entry`: a response of another entry or agent.
+ */
+export type PeerReadKind = "answer" | "stream" | "store" | "report" | "entry";
+
+export type ReadVerdict =
+    /** Goes on at once, or after this many milliseconds without reading. */
+    | { kind: "go-on"; afterMilliseconds: number; }
+    /** The peer is to be disconnected. */
+    | { kind: "end"; reason: string; };
+
+/** One read in progress. */
+export type PeerRead = {
+    /** Counts what has arrived; `pieces` are events, lines or chunks, each of which costs processor time. */
+    take: (bytes: number, pieces: number) => ReadVerdict;
+    /** Like `take`, for bytes that are kept until the read is complete. */
+    keep: (bytes: number, pieces: number) => ReadVerdict;
+    /** Counts an interim response. */
+    takeInterim: () => ReadVerdict;
+    /** Ends the read and releases what it keeps. */
+    close: () => void;
+};
+
+export type PeerReads = { open: (kind: PeerReadKind) => PeerRead; };
+
+type ReadLimits = {
+    maximumBytes: number;
+    /** What a read may cost a second without drawing on the shared allowance, and at once. */
+    ownCostPerSecond: number;
+    ownBurst: number;
+};
+
+/**
+ * Own allowances are over twice what sound peers of the deployments in use need: streams send 30 events a second, other
+ * answers have some kilobytes, and the store's and other entries' responses some hundred.
+ */
+const limitsOf: Record<PeerReadKind, ReadLimits> = {
+    "answer": { maximumBytes: 16_777_216, ownCostPerSecond: 98_304, ownBurst: 262_144 },
+    "stream": { maximumBytes: 16_777_216, ownCostPerSecond: 98_304, ownBurst: 262_144 },
+    "store": { maximumBytes: 16_777_216, ownCostPerSecond: 4_194_304, ownBurst: 4_194_304 },
+    "entry": { maximumBytes: 16_777_216, ownCostPerSecond: 1_048_576, ownBurst: 2_097_152 },
+    "report": { maximumBytes: 1_048_576, ownCostPerSecond: 98_304, ownBurst: 262_144 },
+};
+/** A server may send some, such as early hints; more serve no purpose. */
+const maximumInterims = 32;
+/** What all reads of a process may keep at once; a process has 202 MB or more. */
+const maximumKeptBytes = 50_331_648;
+/** Processor time of a piece beside its bytes: decoding an event takes as long as copying about this many. */
+const pieceCost = 1_024;
+/** Some 8,000 events a second, about a tenth of a core, so that other requests go on in time. */
+const sharedCostPerSecond = 8_388_608;
+const sharedBurst = 4_194_304;
+const minimumWaitMilliseconds = 5;
+const millisecondsPerSecond = 1_000;
+
+/** A token bucket; its level may fall below 0 by `owe`. */
+const createBucket = (clock: Pick<Clock, "now">, perSecond: number, burst: number) => {
+    let level = burst;
+    let filledAt = clock.now();
+    return {
+        /** Takes what is there, up to `cost`; returns the rest. */
+        take: (cost: number): number => {
+            const now = clock.now();
+            level = Math.min(burst, level + (now - filledAt) * perSecond / millisecondsPerSecond);
+            filledAt = now;
+            const taken = Math.max(0, Math.min(level, cost));
+            level -= taken;
+            return cost - taken;
+        },
+        /** Takes `cost` though it isn't there; returns the milliseconds until it is. */
+        owe: (cost: number): number => {
+            level -= cost;
+            return -level * millisecondsPerSecond / perSecond;
+        },
+    };
+};
+
+/** Creates the reads of one process, which share its allowance and its budget. */
+export const createPeerReads = (clock: Pick<Clock, "now">): PeerReads => {
+    const shared = createBucket(clock, sharedCostPerSecond, sharedBurst);
+    let keptBytes = 0;
+    return {
+        open: kind => {
+            const { maximumBytes, ownCostPerSecond, ownBurst } = limitsOf[kind];
+            const own = createBucket(clock, ownCostPerSecond, ownBurst);
+            let bytesRead = 0;
+            let bytesKept = 0;
+            let interims = 0;
+            const take = (bytes: number, pieces: number): ReadVerdict => {
+                bytesRead += bytes;
+                if (bytesRead > maximumBytes) {
+                    return { kind: "end", reason: `more than ${maximumBytes} bytes` };
+                }
+                const cost = bytes + pieces * pieceCost;
+                const rest = shared.take(own.take(cost));
+                return {
+                    kind: "go-on",
+                    afterMilliseconds: rest === 0 ? 0 : Math.max(minimumWaitMilliseconds, own.owe(rest)),
+                };
+            };
+            return {
+                take,
+                keep: (bytes, pieces) => {
+                    bytesKept += bytes;
+                    keptBytes += bytes;
+                    return keptBytes > maximumKeptBytes
+                        ? { kind: "end", reason: `all reads keep more than ${maximumKeptBytes} bytes` }
+                        : take(bytes, pieces);
+                },
+                takeInterim: () => {
+                    interims += 1;
+                    return interims > maximumInterims
+                        ? { kind: "end", reason: `more than ${maximumInterims} interim responses` }
+                        : { kind: "go-on", afterMilliseconds: 0 };
+                },
+                close: () => {
+                    keptBytes -= bytesKept;
+                    bytesKept = 0;
+                },
+            };
+        },
+    };
+};
