--- a/tests/ingress/stopSoak.test.ts
+++ b/tests/ingress/stopSoak.test.ts
@@ -6,17 +6,16 @@
  * `CYCLAMENGAP_SEEDS` gives the number of seeds; each plays for 15 s.
  */
 import { expect } from "chai";
-import { once } from "node:events";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { Agent, createServer, request as startRequest } from "node:http";
-import type { AddressInfo } from "node:net";
+import { mkdtemp, rm } from "node:fs/promises";
+import { Agent, request as startRequest } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { configurationFileVariable, headerNames, topics } from "../../platform/names.js";
+import { headerNames, topics } from "../../platform/names.js";
 import { type KeyedStore, startKeyedStore } from "../../src/standin/keyedStore.js";
 import { type SealedServer, startSealedServer } from "../../src/standin/sealedServer.js";
+import { createEntryProcesses, type EntryProcesses } from "../support/entryProcesses.js";
 import { standardConfiguration, validApiKey } from "../support/platformDeployment.js";
-import { killAllPrograms, type Program, startNode } from "../support/processes.js";
+import { killAllPrograms } from "../support/processes.js";
 import { seededRandom } from "../support/random.js";
 import { answer, type ScriptedServer, startScriptedServer } from "../support/scriptedServer.js";
 
@@ -26,26 +25,22 @@
 const playMilliseconds = 15_000;
 const graceSeconds = 5;
 const promises = [408, 421, 429, 503];
-const entryIp = (entry: number): string => `127.0.9.${entry + 1}`;
 const pause = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
 
 type Outcome = { requestId: string; path: string; status: number; isWhole: boolean; };
 
-const freePort = async (): Promise<number> => {
-    const server = createServer().listen(0, entryIp(0));
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return port;
-};
-
 /** Status 0: the connection ended without a whole head. */
-const call = (port: number, entry: number, path: string, requestId: string, agent: Agent): Promise<Outcome> =>
+const call = (
+    { ip, callerPort: port }: EntryProcesses,
+    entry: number,
+    path: string,
+    requestId: string,
+    agent: Agent,
+): Promise<Outcome> =>
     new Promise(resolve => {
         const settle = (status: number, isWhole: boolean): void => resolve({ requestId, path, status, isWhole });
         const outgoing = startRequest({
-            host: entryIp(entry),
+            host: ip(entry),
             port,
             path,
             method: "POST",
@@ -105,33 +100,8 @@
         store.put(topics.operator, "config", standardConfiguration(1));
         list(bookings, "catalogue");
         list(model, "model");
-        const [callerPort = 0, readiness, metrics, gossip] = await Promise.all([1, 2, 3, 4].map(freePort));
-        const startEntry = async (entry: number): Promise<Program> => {
-            const ip = entryIp(entry);
-            const file = join(folder, `entry-${entry}.jsonc`);
-            const settings = {
-                host: `entry-${entry}`,
-                availabilityZone: "medina",
-                ip,
-                internalPorts: [gossip, gossip],
-                metrics: `${ip}:${metrics}`,
-                store: { address: store.address },
-                callers: `${ip}:${callerPort}`,
-                readiness: `${ip}:${readiness}`,
-                graceSeconds,
-                retryRatio: 0.2,
-                retrySlack: 400,
-                retryWindowSeconds: 10,
-                platformContracts: [],
-            };
-            await writeFile(file, JSON.stringify(settings));
-            const program = startNode(`entry ${entry}`, ["dist/src/programs/ingress.js"], {
-                env: { PATH: process.env.PATH, [configurationFileVariable]: file },
-            });
-            await program.waitForEvent("configuration in force");
-            return program;
-        };
-        const programs = await Promise.all([...Array(entries).keys()].map(startEntry));
+        const fleet = await createEntryProcesses(folder, store, graceSeconds);
+        await Promise.all([...Array(entries).keys()].map(fleet.start));
         const endsAt = performance.now() + playMilliseconds;
         const isOver = (): boolean => performance.now() > endsAt;
         const outcomes: Outcome[] = [];
@@ -141,7 +111,7 @@
             let entry = caller % entries;
             for (let turn = 0; !isOver(); turn += 1) {
                 const path = turn % 2 === 0 ? "/talk/1" : "/book/1";
-                const outcome = await call(callerPort, entry, path, `${seed}-${caller}-${turn}`, agent);
+                const outcome = await call(fleet, entry, path, `${seed}-${caller}-${turn}`, agent);
                 outcomes.push(outcome);
                 if (outcome.status === 0) {
                     entry = (entry + 1) % entries;
@@ -154,7 +124,7 @@
         const stopInTurn = async (entry: number): Promise<void> => {
             await pause(random() * 3_000);
             while (!isOver()) {
-                const program = programs[entry] ?? expect.fail();
+                const { program } = fleet.current(entry);
                 const stoppedAt = performance.now();
                 program.sendSignal("SIGTERM");
                 if (random() < 0.5) {
@@ -163,7 +133,7 @@
                 }
                 expect(await program.exited, `seed ${seed}, entry ${entry}:\n${program.output()}`).to.equal(0);
                 expect(performance.now() - stoppedAt).to.be.lessThan(graceSeconds * 1_000);
-                programs[entry] = await startEntry(entry);
+                await fleet.start(entry);
                 await pause(random() * 1_500);
             }
         };
--- a/tests/support/random.ts
+++ b/tests/support/random.ts
@@ -1,6 +1,7 @@
 /**
  * Seeded uniform random numbers in [0, 1) from the mulberry32 generator.
  */
+import { createHash } from "node:crypto";
 import type { RandomNumber } from "../../src/state/types.js";
 
 export const seededRandom = (seed: number): RandomNumber => {
@@ -12,3 +13,7 @@
         return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
     };
 };
+
+/** Random numbers that depend on `name` only, so that what one actor draws doesn't depend on the order of the others. */
+export const namedRandom = (name: string): RandomNumber =>
+    seededRandom(createHash("sha256").update(name).digest().readUInt32BE());
--- a/tests/support/scriptedServer.ts
+++ b/tests/support/scriptedServer.ts
@@ -5,7 +5,12 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { headerNames } from "../../platform/names.js";
 
-export type ScriptedRequest = { requestId: string; lastEventId: number; };
+export type ScriptedRequest = {
+    requestId: string;
+    lastEventId: number;
+    /** The server that the sender means. */
+    targetId: string;
+};
 
 export type Script = {
     /** Called when a connection opens, before anything was sent on it. */
@@ -18,6 +23,8 @@
     address: string;
     /** Ids of the requests that it has received completely. */
     receivedIds: string[];
+    /** Accepts no new connections; those that are open stay. */
+    stopListening: () => void;
     close: () => Promise<void>;
 };
 
@@ -36,12 +43,17 @@
     fields: Record<string, string | undefined> = {},
 ): string => head(status, requestId, { "Content-Length": String(Buffer.byteLength(body)), ...fields }) + body;
 
-export const startScriptedServer = async (id: string, { onConnection, onRequest }: Script): Promise<ScriptedServer> => {
+export const startScriptedServer = async (
+    id: string,
+    { onConnection, onRequest }: Script,
+    listenPort = 0,
+): Promise<ScriptedServer> => {
     const receivedIds: string[] = [];
     const sockets = new Set<Socket>();
     const server = createServer(socket => {
         sockets.add(socket);
         socket.on("error", () => undefined);
+        socket.once("close", () => sockets.delete(socket));
         onConnection?.(socket);
         let received = "";
         socket.on("data", (chunk: Buffer) => {
@@ -54,23 +66,27 @@
             if (isComplete) {
                 const requestId = field(headerNames.requestId);
                 const lastEventId = Number(field(headerNames.lastEventId) || 0);
+                const targetId = field(headerNames.targetUpstream);
                 received = "";
                 receivedIds.push(requestId);
-                onRequest(socket, { requestId, lastEventId });
+                onRequest(socket, { requestId, lastEventId, targetId });
             }
         });
     });
-    server.listen(0, "127.0.0.1");
+    server.listen(listenPort, "127.0.0.1");
     await once(server, "listening");
     const { address, port } = server.address() as AddressInfo;
     return {
         id,
         address: `${address}:${port}`,
         receivedIds,
+        stopListening: () => void server.close(),
         close: async () => {
-            sockets.forEach(socket => socket.destroy());
+            const closed = once(server, "close");
+            // Like a process that ends: its port is closed when its connections break.
             server.close();
-            await once(server, "close");
+            sockets.forEach(socket => socket.destroy());
+            await closed;
         },
     };
 };
