Deliver whole answers however their end is marked: by the connection, or without a body

Cause: only a length or chunks counted as a marked end. An orderly close was always taken for a cut.

Change: the sender reports how a body ended; an orderly close marks the end of an answer without a length if the server still accepts connections just after, or is known to be leaving. A reset, or a closed port, is a cut. Such an answer goes to the caller as it came, without a length, on a connection that closes behind it: the entry has seen no more of its end than the caller will. If it breaks off, the caller's connection is reset, as an orderly close would look like the end.

The stand-in's fault "unframed" closed in order in the middle of such an answer and the tests asked for a cut. The fault now resets, with the same expectations, and tests are added in which the server dies halfway.

--- a/src/coordination/ingress/deploymentState.ts
+++ b/src/coordination/ingress/deploymentState.ts
@@ -38,6 +38,8 @@
      * is not listed or has started again since.
      */
     markLeaving: (id: string, bornAt: number, source: string) => void;
+    /** Whether the upstream is draining, said that it leaves, or is no longer listed. */
+    isLeaving: (id: string) => boolean;
     /** Leaving upstreams that the list does not show as draining yet, with the start times of those runs. */
     leavingToGossip: () => Record<string, number>;
     /** Upstreams of `service` that may receive new requests. */
@@ -205,6 +207,7 @@
             dropOldestLeaving();
             log.stateChange("upstream leaving", { id, service: known.service, source, isDraining: known.isDraining });
         },
+        isLeaving: id => upstreams.get(id)?.isDraining !== false || leaving.has(id),
         leavingToGossip: () =>
             Object.fromEntries([...leaving].filter(([id]) => upstreams.get(id)?.isDraining === false)),
         markTopicUnavailable: topic => {
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -124,7 +124,7 @@
         response: UpstreamResponse,
         body: Buffer[],
     ): void => {
-        sink.start(response.status, response.headers);
+        sink.start(response.status, response.headers, response.ending().framing);
         body.forEach(sink.write);
         sink.end();
         const durationMilliseconds = clock.now() - arrivedAt;
--- a/src/coordination/ingress/upstreamAttempt.ts
+++ b/src/coordination/ingress/upstreamAttempt.ts
@@ -28,10 +28,10 @@
 };
 
 /**
- * How the end of a body is marked: by its length, by the last of its chunks, or by the end of its connection;
- * `other-coding`: by a transfer coding that isn't decoded.
+ * How the end of a body is marked: by its length, by the last of its chunks, or by the end of its connection; `none`: the
+ * method or the status has no body; `other-coding`: by a transfer coding that isn't decoded.
  */
-export type BodyFraming = "length" | "chunks" | "connection" | "other-coding";
+export type BodyFraming = "length" | "chunks" | "connection" | "none" | "other-coding";
 
 /**
  * What ended a body. `marked`: the end that its framing states; `closed`: the upstream closed the connection; `reset`: the
@@ -42,7 +42,7 @@
 /** `end` is undefined until the body has ended. */
 export type BodyEnding = { framing: BodyFraming; end: BodyEnd | undefined; bodyBytes: number; };
 
-/** Whether the body arrived completely. An upstream that dies closes its connections like one that has finished. */
+/** Whether the body arrived completely. */
 export const isWholeBody = ({ framing, end }: BodyEnding): boolean => end === "marked" && framing !== "other-coding";
 
 export type UpstreamResponse = {
--- a/src/standin/sealedServer.ts
+++ b/src/standin/sealedServer.ts
@@ -14,7 +14,7 @@
  * - `crossed`: responds with the id of another request.
  * - `unsealed`: sends a plain response without a seal.
  * - `cut`: closes the connection in the middle of the response.
- * - `unframed`: sends no length and closes in the middle of the body, which looks like its regular end.
+ * - `unframed`: sends no length and resets the connection in the middle of the body.
  * - `mute`: never responds.
  * - `error`: executes the request and responds with status 500.
  * - `extra`: sends a second complete response a little after the first, on the same connection.
@@ -86,6 +86,8 @@
 const dripMilliseconds = 30;
 const slowPauseMilliseconds = 1_200;
 const extraResponseMilliseconds = 10;
+/** Time for the bytes before a reset to be read, which the reset would discard. */
+const resetMilliseconds = 10;
 const endlessBytes = Buffer.alloc(65_536, "x");
 
 /** Writes bytes to the connection for as long as it is open. */
@@ -144,14 +146,17 @@
         return `HTTP/1.1 200 OK\r\n${fields.map(([name, value]) => `${name}: ${value}\r\n`).join("")}`;
     };
 
-    /** Closes the connection in the middle of a response without length. */
-    const endWithoutFraming = (
+    /** Resets the connection in the middle of a response without length; an orderly close would be its end. */
+    const resetWithoutFraming = (
         response: ServerResponse,
         requestId: string,
         contentType: string,
         partialBody: string,
     ): void => {
-        response.socket?.end(`${rawHead(requestId, contentType)}Connection: close\r\n\r\n${partialBody}`);
+        const { socket } = response;
+        socket?.write(`${rawHead(requestId, contentType)}Connection: close\r\n\r\n${partialBody}`, () => {
+            setTimeout(() => socket.resetAndDestroy(), resetMilliseconds);
+        });
     };
 
     const sendEventStream = (
@@ -162,7 +167,7 @@
     ): void => {
         const lastEventId = Number(request.headers[headerNames.lastEventId] ?? 0);
         if (fault === "unframed") {
-            endWithoutFraming(
+            resetWithoutFraming(
                 response,
                 requestId,
                 eventStreamContentType,
@@ -215,7 +220,7 @@
     const sendPlainResponse = (response: ServerResponse, requestId: string, fault?: ServerFault): void => {
         const body = `answer of ${currentId} to ${requestId}`;
         if (fault === "unframed") {
-            endWithoutFraming(response, requestId, "text/plain", body.slice(0, 5));
+            resetWithoutFraming(response, requestId, "text/plain", body.slice(0, 5));
             return;
         }
         if (isRawFault(fault)) {
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -95,7 +95,9 @@
     requestIdHeader: string,
     requestId: string | undefined,
     beforeHead: () => void,
+    mayEndConnection: () => boolean,
 ): ResponseSink => {
+    let endsWithConnection = false;
     const refuse = (refused: Refusal): void => {
         beforeHead();
         const body = JSON.stringify(errorBody(refused));
@@ -108,10 +110,21 @@
         });
         response.end(body);
     };
-    const abort = (): void => void response.destroy();
+    const abort = (): void => {
+        if (endsWithConnection) {
+            // An orderly close would look like the end of the answer.
+            response.socket?.resetAndDestroy();
+        }
+        response.destroy();
+    };
     return {
-        start: (status, headers) => {
+        start: (status, headers, framing) => {
             beforeHead();
+            if (framing === "connection" && mayEndConnection()) {
+                endsWithConnection = true;
+                response.useChunkedEncodingByDefault = false;
+                response.shouldKeepAlive = false;
+            }
             response.sendDate = false;
             response.writeHead(status, headers);
             response.flushHeaders();
@@ -182,6 +195,8 @@
             headerAdapter.requestIdHeader,
             typeof requestId === "string" ? requestId : undefined,
             announceClose,
+            // Answers to further requests on the connection would be lost with it.
+            () => connections.hasOneRequest(message.socket),
         );
         const callerGone = disconnectSignal(response);
         const { bodyBytes } = limits() ?? defaultLimits;
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -27,7 +27,6 @@
 import { createUnaryScheduler } from "../../coordination/ingress/unaryScheduler.js";
 import { createUnaryTask } from "../../coordination/ingress/unaryTask.js";
 import { createUpstreamHealth } from "../../coordination/ingress/upstreamHealth.js";
-import { withNotices } from "../../coordination/ingress/upstreamNotices.js";
 import { createUpstreamPauses } from "../../coordination/ingress/upstreamPauses.js";
 import { createUrgencyShares } from "../../coordination/ingress/urgencyShares.js";
 import { createMetrics } from "../../coordination/metrics.js";
@@ -39,6 +38,7 @@
 import { createTimeoutSignal } from "../timeoutSignal.js";
 import { startBuffering } from "./buffering.js";
 import { type CallerRequest, startCallerServer } from "./callerServer.js";
+import { createCheckedSender } from "./checkedSender.js";
 import { startCrashTracking } from "./crashTracking.js";
 import { drainCallers } from "./drainCallers.js";
 import { startEntryGossip } from "./entryGossip.js";
@@ -47,7 +47,6 @@
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
 import { createRelayedSource } from "./recordRelay.js";
 import { createUpstreamRateLimiter } from "./upstreamRateLimiter.js";
-import { createSender } from "./upstreamSender.js";
 
 export type IngressDaemon = {
     /** Bound listener addresses as `ip:port`. */
@@ -94,6 +93,7 @@
         metrics,
     });
     const notices = { state, pauses, limits: upstreamLimits.stated };
+    const createSend = createCheckedSender(platform.headerAdapter, notices, clock);
     const freshness = createTopicFreshness(clock, () => sharedRecords.storeTurn());
     const sharedRecords = createSharedRecords({
         host: config.host,
@@ -278,7 +278,7 @@
             arrivedAt,
             callerDeadlineAt: arrivedAt + patienceMilliseconds,
             responseDueAt,
-            send: withNotices(createSender(platform.headerAdapter, message, body, buffers), notices, clock),
+            send: createSend(message, body, buffers),
             sink,
             held: buffers?.held,
             signal: boundedSignal.signal,
--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -1,8 +1,8 @@
 /**
  * Sends one request to one upstream over a dedicated connection, with Node's HTTP client.
  *
- * The connection is established first, so a failure at that stage means that nothing was sent. Only a response with a
- * content length or with chunked encoding can be verified as complete.
+ * The connection is established first, so a failure at that stage means that nothing was sent. How a response ended is
+ * reported as it was seen; whether it is whole is decided elsewhere.
  */
 import { err, ok, type Result } from "neverthrow";
 import { type IncomingMessage, request as startRequest } from "node:http";
@@ -50,8 +50,13 @@
         socket.once("connect", () => settle(ok(socket)));
     });
 
+const bodilessStatuses = new Set([204, 304]);
+
 /** How the end of the body is marked. Transfer codings other than chunked are not decoded here. */
-const framingOf = ({ headers }: IncomingMessage): BodyFraming => {
+const framingOf = ({ headers, statusCode = 0 }: IncomingMessage, method: string | undefined): BodyFraming => {
+    if (method === "HEAD" || bodilessStatuses.has(statusCode)) {
+        return "none";
+    }
     const coding = headers["transfer-encoding"];
     if (coding !== undefined) {
         return coding.trim().toLowerCase() === "chunked" ? "chunks" : "other-coding";
@@ -65,11 +70,12 @@
  */
 const readBody = (
     message: IncomingMessage,
+    method: string | undefined,
     socket: Socket,
     idleMilliseconds: number,
     held: HeldBytes | undefined,
 ) => {
-    const framing = framingOf(message);
+    const framing = framingOf(message, method);
     let bodyBytes = 0;
     let end: BodyEnd | undefined;
     const chunks: Buffer[] = [];
@@ -243,7 +249,7 @@
                 isAnswered = true;
                 clearTimeout(timer);
                 stopWatching?.();
-                bodyReader = readBody(message, socket, timeouts.idleMilliseconds, buffers?.held);
+                bodyReader = readBody(message, request.method, socket, timeouts.idleMilliseconds, buffers?.held);
                 const response: UpstreamResponse = {
                     status: message.statusCode ?? 0,
                     metadata: headerAdapter.readResponseMetadata(message),
--- a/tests/ingress/answerEnds.test.ts
+++ b/tests/ingress/answerEnds.test.ts
@@ -221,4 +221,69 @@
             expect([given.status, given.body, given.isComplete]).to.deep.equal([200, eventsAfter(0), true]);
         });
     }
+
+    describe("that only its connection marks", () => {
+        const unmarkedHead = (id: string, fields = {}): string => head(200, id, { Connection: "close", ...fields });
+        const broken = (partialBody: string, end: (socket: Socket) => void, fields = {}): Script => ({
+            onRequest: (socket, { requestId }) =>
+                void socket.write(
+                    `${unmarkedHead(requestId, fields)}${partialBody}`,
+                    () => setTimeout(end, 20, socket),
+                ),
+        });
+        /** Closes the port and all connections, as the end of a process does. */
+        const die = (): void => void servers[0]?.close();
+        const reset = (socket: Socket): void => void socket.resetAndDestroy();
+
+        it("is passed on as it was, since this entry hasn't seen more of it", async () => {
+            await serve("catalogue", broken("booked", socket => socket.end()));
+            const { status, body, headers } = await book();
+            expect([status, body]).to.deep.equal([200, "booked"]);
+            expect(headers).to.include({ connection: "close" });
+            expect(headers).not.to.have.any.keys("content-length", "transfer-encoding");
+        });
+
+        for (const [what, end] of Object.entries({ "dies": die, "resets the connection": reset })) {
+            it(`doesn't make a booking look answered whose server ${what} halfway`, async () => {
+                await serve("catalogue", broken("boo", end));
+                const { status, headers } = await book();
+                expect(status).to.equal(502);
+                expect(headers["retry-after"]).to.equal(undefined);
+                expect(runs()).to.deep.equal(["booking"]);
+            });
+
+            it(`doesn't end a stream whose server ${what} halfway, which goes on at another one`, async () => {
+                let first: Script | undefined = broken(eventsAfter(0).slice(0, -40), end, streamType);
+                const rest = streamScript("no length", eventsAfter);
+                const script: Script = {
+                    onRequest: (socket, request) => {
+                        const next = first ?? rest;
+                        first = undefined;
+                        next.onRequest(socket, request);
+                    },
+                };
+                await serve("model", script, script);
+                const dying = deployment.waitUntil(() => runs().length > 0).then(() =>
+                    servers.sort((one, other) => other.receivedIds.length - one.receivedIds.length)
+                );
+                const [given] = await Promise.all([talk(), dying]);
+                expect([given.status, given.body, given.isComplete]).to.deep.equal([200, eventsAfter(0), true]);
+            });
+        }
+
+        it("is no orderly end for the caller of a stream that breaks off for good", async () => {
+            const script = broken(eventsAfter(0).slice(0, -40), reset, streamType);
+            await serve("model", script, script);
+            const outcome = await talk().then(({ isComplete }) => isComplete, (error: Error) => error.message);
+            expect(outcome).to.equal("read ECONNRESET");
+        });
+
+        it("is believed of a leaving server, which may stop listening before its last answers", async () => {
+            const [server] = await serve("catalogue", broken("booked", die));
+            const answered = book();
+            await deployment.waitUntil(() => runs().length > 0);
+            deployment.listUpstream(server ?? expect.fail(), "catalogue", { state: "draining" });
+            expect((await answered).body).to.equal("booked");
+        });
+    });
 });
