Deliver streams whole that end in other ways than with an empty line

What callers saw: a stream whose every event had arrived was judged cut off, resumed after its last event, judged cut off again some 100 ms later when the empty rest ended the same way, and then broken off.

Change: at a marked end, what is left is passed on if its lines are fields or comments. An end inside a line, or behind a line of an answer that only its connection ends, may still be a cut: another attempt tells if the stream may be resumed, and what ends the same way twice is the server's answer. The splitter knows CR line ends and a byte order mark.

--- a/src/coordination/ingress/eventSplitter.ts
+++ b/src/coordination/ingress/eventSplitter.ts
@@ -13,34 +13,47 @@
     isWellFormed: boolean;
 };
 
+/** Bytes behind the last complete event. */
+export type UnfinishedEvent = StreamEvent & {
+    /** Whether they end with a line, so that only the empty line is missing. */
+    endsWithLine: boolean;
+};
+
 export type EventSplitter = {
     /** Appends bytes and returns the events that they complete. */
     push: (chunk: Buffer) => StreamEvent[];
     /** Buffered bytes of the incomplete event. */
     pendingBytes: () => number;
+    /** What is left at the end of the stream; undefined if nothing is. */
+    unfinished: () => UnfinishedEvent | undefined;
 };
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const emptyLine = Buffer.from("\r\r");
 /** A larger event is treated as invalid; the largest of the deployments in use has 420 bytes. */
 export const maximumEventBytes = 1_048_576;
 
-const eventPattern = /^(?:\r?\n)*(?:[\w-]*:[^\n]*\n|(?:data|event|id|retry)\r?\n)*\r?\n$/;
+/** A byte order mark may stand before the first event; leftover empty lines may stand before any. */
+const leadingPattern = "^(?:\\u00ef\\u00bb\\u00bf)?(?:\\r\\n|\\n|\\r)*";
+const linesPattern = "(?:[\\w-]*:[^\\r\\n]*(?:\\r\\n|\\n|\\r)|(?:data|event|id|retry)(?:\\r\\n|\\n|\\r))*";
+const eventPattern = new RegExp(`${leadingPattern}${linesPattern}(?:\\r\\n|\\n|\\r)$`);
+const unfinishedPattern = new RegExp(`${leadingPattern}${linesPattern}(?:[\\w-]*(?::[^\\r\\n]*)?)$`);
 /** A status line at the end of a line, followed by a header field. */
 const responseHeadPattern = /HTTP\/1\.[01] \d{3}[^\r\n]*\r?\n(?!(?:data|event|id|retry)?:)[\w-]+:/;
-const idPattern = /(?:^|\n)id: ?([^\r\n]*)/;
+const idPattern = /(?:^|[\r\n])id: ?([^\r\n]*)/;
 
-const toEvent = (bytes: Buffer): StreamEvent => {
+const toEvent = (bytes: Buffer, pattern: RegExp): StreamEvent => {
     const text = bytes.toString("latin1");
     return {
         bytes,
         id: idPattern.exec(text)?.[1],
-        isWellFormed: eventPattern.test(text) && !responseHeadPattern.test(text),
+        isWellFormed: pattern.test(text) && !responseHeadPattern.test(text),
     };
 };
 
-/** Position after the first empty line at or after `from`; -1 if there is none. */
-const findEventEnd = (bytes: Buffer, from: number): number => {
+/** Position after the first empty line at or after `from` behind a line feed; -1 if there is none. */
+const findEndBehindLineFeed = (bytes: Buffer, from: number): number => {
     for (
         let position = bytes.indexOf(lineFeed, from);
         position >= 0;
@@ -56,6 +69,14 @@
     return -1;
 };
 
+/** Position after the first empty line at or after `from`; -1 if there is none. */
+const findEventEnd = (bytes: Buffer, from: number): number => {
+    const behindLineFeed = findEndBehindLineFeed(bytes, from);
+    const behindCarriageReturn = bytes.subarray(0, behindLineFeed < 0 ? bytes.length : behindLineFeed)
+        .indexOf(emptyLine, from);
+    return behindCarriageReturn < 0 ? behindLineFeed : behindCarriageReturn + emptyLine.length;
+};
+
 export const createEventSplitter = (): EventSplitter => {
     let buffered: Buffer = Buffer.alloc(0);
     return {
@@ -64,12 +85,17 @@
             const events: StreamEvent[] = [];
             let start = 0;
             for (let end = findEventEnd(buffered, 0); end >= 0; end = findEventEnd(buffered, start)) {
-                events.push(toEvent(buffered.subarray(start, end)));
+                events.push(toEvent(buffered.subarray(start, end), eventPattern));
                 start = end;
             }
             buffered = buffered.subarray(start);
             return events;
         },
         pendingBytes: () => buffered.length,
+        unfinished: () =>
+            buffered.length === 0 ? undefined : {
+                ...toEvent(buffered, unfinishedPattern),
+                endsWithLine: [lineFeed, carriageReturn].includes(buffered.at(-1) ?? 0),
+            },
     };
 };
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -21,7 +21,7 @@
 import { suspectTraits } from "./requestTraits.js";
 import { createSilentStreamMove, resumeWindowMilliseconds } from "./silentStreamMove.js";
 import type { StreamAdmission } from "./streamAdmission.js";
-import { isNewer, type StreamProgress } from "./streamProgress.js";
+import { isNewer, isWholeStream, type StreamProgress } from "./streamProgress.js";
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
 import {
     type AttemptTimeouts,
@@ -29,7 +29,6 @@
     type FailedAttempt,
     findResponseFault,
     isUpstreamAbsent,
-    isWholeBody,
     type UpstreamResponse,
 } from "./upstreamAttempt.js";
 
@@ -121,12 +120,16 @@
         }
         held?.add(-heldPendingBytes);
         const ending = { ...response.ending(), pendingBytes: splitter.pendingBytes() };
-        if (!isWholeBody(ending) || ending.pendingBytes > 0) {
+        const unfinished = splitter.unfinished();
+        if (!isWholeStream(ending, unfinished, eventsInAttempt, route, progress)) {
             return { kind: "broken", reason: "the event stream was cut off", isOwnDoing: pace.wasHeldBack(), ending };
         }
         if (!sink.hasStarted()) {
             sink.start(response.status, response.headers, ending.framing);
         }
+        if (unfinished !== undefined && isNewer(unfinished, progress)) {
+            sink.write(unfinished.bytes);
+        }
         return { kind: "complete" };
     };
 
@@ -279,6 +282,7 @@
             lastEventAt: undefined,
             longestPauseMilliseconds: 0,
             heldBackUntil: -Infinity,
+            unfinished: undefined,
         };
         retryBudget.recordRequest();
         const admitted = await admission.enter(context);
