Run nothing that is sent behind the last answer of a connection

Cause: a request waits for the answers before it, and was then dropped only if its connection was destroyed. Node ends the connection behind the last answer and destroys it later, so the request went through in between. It is dropped now once the connection can't be written any more. Nothing has run, so the caller may send it again.

--- a/src/transport/ingress/callerConnections.ts
+++ b/src/transport/ingress/callerConnections.ts
@@ -54,7 +54,7 @@
         },
         begin: (socket, response) => {
             const state = states.get(socket);
-            if (state === undefined || state.isEnded) {
+            if (state === undefined || state.isEnded || !socket.writable) {
                 return undefined;
             }
             const before = state.answered;
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -234,7 +234,8 @@
                 return;
             }
             await answersBefore;
-            if (!sink.hasStarted() && !message.socket.destroyed) {
+            // An answer before it may have closed the connection for writing.
+            if (!sink.hasStarted() && message.socket.writable) {
                 await handle({ message, body, sink, callerGone, buffers, arrivedAt, isBehindOthers });
             }
         }
--- a/tests/ingress/plannedStop.test.ts
+++ b/tests/ingress/plannedStop.test.ts
@@ -23,6 +23,7 @@
     let deployment: PlatformDeployment;
     let server: SealedServer;
     let model: SealedServer;
+    let shortModel: SealedServer | undefined;
     let longStream: CallerConnection;
 
     const open = () => openCallerConnection(deployment.entry.addresses.callers);
@@ -55,12 +56,14 @@
     afterEach(async () => {
         longStream.socket.destroy();
         await deployment.stop();
-        await Promise.all([server.close(), model.close()]);
+        await Promise.all([server, model, shortModel].map(started => started?.close()));
+        shortModel = undefined;
     });
 
-    it("answers the booking that a caller sends behind a stream whose head had announced keep-alive", async () => {
-        const short = await startSealedServer("i-short", { events: 60, eventMilliseconds: 10 });
-        deployment.listUpstream(short, "other");
+    /** Lets streams go to a server that ends them after 0.6 s. */
+    const shortenStreams = async (): Promise<void> => {
+        shortModel = await startSealedServer("i-short", { events: 60, eventMilliseconds: 10 });
+        deployment.listUpstream(shortModel, "other");
         const { routes } = standardConfiguration(3) as { routes: { pathPrefix: string; }[]; };
         deployment.configure(3, {
             routes: routes.map(route => route.pathPrefix === "/talk/" ? { ...route, service: "other" } : route),
@@ -68,6 +71,10 @@
         await deployment.waitUntil(() =>
             deployment.logLines.some(({ event, version }) => event === "configuration in force" && version === 3)
         );
+    };
+
+    it("answers the booking that a caller sends behind a stream whose head had announced keep-alive", async () => {
+        await shortenStreams();
         const callers = await Promise.all([...Array(4).keys()].map(async index => {
             const caller = await open();
             caller.write(requestText({ path: "/talk/1", requestId: `short-${index}`, patience: 8_000 }));
@@ -82,7 +89,18 @@
         }));
         expect(answers.filter((text, index) => !text.includes(`answer of i-0 to booking-${index}`))).to.deep.equal([]);
         await stopped;
-        await short.close();
+    }).timeout(30_000);
+
+    it("runs nothing that is sent behind an answer whose head had announced that the connection closes", async () => {
+        await shortenStreams();
+        const stopped = deployment.entry.stop();
+        const caller = await open();
+        caller.write(requestText({ path: "/talk/1", requestId: "last", patience: 8_000 }));
+        expect(await caller.until(text => text.includes("id: 3"))).to.match(/connection: close/i);
+        caller.write(requestText({ path: "/book/1", requestId: "behind", patience: 1_000 }));
+        await caller.closed;
+        await stopped;
+        expect(hasRun("behind")).to.equal(false);
     }).timeout(30_000);
 
     it("refuses at once what arrives late and can't finish, on a connection that was kept by a late body", async () => {
