--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -24,10 +24,11 @@
 const connectTimeoutMilliseconds = 150;
 /** Bytes of an answer that are read ahead of its reader; a single read may bring more. */
 const readAheadBytes = 16_384;
+const noBytes = Buffer.alloc(0);
 
 const openConnection = (address: string, signal: AbortSignal): Promise<Result<Socket, TransportFailure>> =>
     new Promise(resolve => {
-        const socket = connect({ ...splitAddress(address), noDelay: true });
+        const socket = connect({ ...splitAddress(address), noDelay: true, allowHalfOpen: true });
         const settle = (result: Result<Socket, TransportFailure>): void => {
             clearTimeout(timer);
             signal.removeEventListener("abort", abortConnect);
@@ -209,6 +210,14 @@
                 upstreamId: upstream.id,
                 bodyBytes: body.length,
             });
+            let bodyReader: ReturnType<typeof readBody> | undefined;
+            // A reset that arrives together with data is reported as an orderly end; only a write tells them apart.
+            socket.once("end", () =>
+                socket.write(noBytes, error => {
+                    if (error instanceof Error) {
+                        bodyReader?.fail("reset");
+                    }
+                }));
             const outgoing = startRequest({
                 createConnection: () => socket,
                 method: request.method,
@@ -216,7 +225,6 @@
                 // Node's client accepts a flat list of raw headers, which its types don't declare.
                 headers: headers as unknown as Record<string, string>,
             });
-            let bodyReader: ReturnType<typeof readBody> | undefined;
             const close = (): void => {
                 bodyReader?.fail("abandoned");
                 clearTimeout(timer);
--- a/tests/ingress/answerEnds.test.ts
+++ b/tests/ingress/answerEnds.test.ts
@@ -271,6 +271,17 @@
             });
         }
 
+        it("is not taken for an orderly end where a reset arrives together with data", async () => {
+            await serve("catalogue", {
+                onRequest: (socket, { requestId }) =>
+                    void socket.write(`${unmarkedHead(requestId)}boo`, () => socket.resetAndDestroy()),
+            });
+            const given = await Promise.all(
+                [...Array(20).keys()].map(index => book({ requestId: `booking-${index}` })),
+            );
+            expect(given.map(({ status }) => status)).to.deep.equal(Array(20).fill(502));
+        });
+
         it("is no orderly end for the caller of a stream that breaks off for good", async () => {
             const script = broken(eventsAfter(0).slice(0, -40), reset, streamType);
             await serve("model", script, script);
--- a/tests/support/scriptedServer.ts
+++ b/tests/support/scriptedServer.ts
@@ -50,7 +50,7 @@
 ): Promise<ScriptedServer> => {
     const receivedIds: string[] = [];
     const sockets = new Set<Socket>();
-    const server = createServer(socket => {
+    const server = createServer({ noDelay: true }, socket => {
         sockets.add(socket);
         socket.on("error", () => undefined);
         socket.once("close", () => sockets.delete(socket));
