Mark the ends of answers for callers also where the server's answer had no length

A request sent behind such a stream was lost with the connection, and the close cost callers a new connection. To callers in HTTP/1.0, which get no chunks, any stream that broke off looked whole.

Change: the entry marks the end, in chunks, once it takes the answer for whole, as before. The connection of a caller that gets no chunks is reset if its answer breaks off.

--- a/src/coordination/ingress/requestContext.ts
+++ b/src/coordination/ingress/requestContext.ts
@@ -15,14 +15,13 @@
 import type { RequestCosts } from "./requestCosts.js";
 import type { RequestTraits } from "./requestTraits.js";
 import type { StreamCost } from "./streamCost.js";
-import type { BodyFraming, FailedAttempt, SendToUpstream } from "./upstreamAttempt.js";
+import type { FailedAttempt, SendToUpstream } from "./upstreamAttempt.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import type { UpstreamLimits } from "./upstreamLimits.js";
 
 /** The response to one caller; exactly one of `end`, `refuse` and `abort` finishes it. */
 export type ResponseSink = {
-    /** `framing` is that of the upstream's response: an end that only its connection marks is passed on as such. */
-    start: (status: number, headers: string[], framing: BodyFraming) => void;
+    start: (status: number, headers: string[]) => void;
     write: (bytes: Buffer) => void;
     /**
      * Resolves when the caller has read enough for more to be written, and also when `signal` aborts or the caller is
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -78,7 +78,7 @@
                 }
                 const now = clock.now();
                 if (!sink.hasStarted()) {
-                    sink.start(response.status, response.headers, response.ending().framing);
+                    sink.start(response.status, response.headers);
                     metrics.observe("ingress_first_event", now - arrivedAt);
                 }
                 sink.write(event.bytes);
@@ -125,7 +125,7 @@
             return { kind: "broken", reason: "the event stream was cut off", isOwnDoing: pace.wasHeldBack(), ending };
         }
         if (!sink.hasStarted()) {
-            sink.start(response.status, response.headers, ending.framing);
+            sink.start(response.status, response.headers);
         }
         if (unfinished !== undefined && isNewer(unfinished, progress)) {
             sink.write(unfinished.bytes);
@@ -176,7 +176,7 @@
         if (chunks === undefined) {
             return { kind: "broken", reason: "the response was cut off", ending: response.ending() };
         }
-        sink.start(response.status, response.headers, response.ending().framing);
+        sink.start(response.status, response.headers);
         chunks.forEach(sink.write);
         return { kind: "complete" };
     };
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -124,7 +124,7 @@
         response: UpstreamResponse,
         body: Buffer[],
     ): void => {
-        sink.start(response.status, response.headers, response.ending().framing);
+        sink.start(response.status, response.headers);
         body.forEach(sink.write);
         sink.end();
         const durationMilliseconds = clock.now() - arrivedAt;
