Take an answer without a length for whole only if its server's port is seen open

Cause: the port check says "not closed" also when it is aborted or nothing responds within 150 ms.

Change: the check knows a third result, unknown. A crash needs "closed", a sound end needs "open".

--- a/src/coordination/ingress/unmarkedEnds.ts
+++ b/src/coordination/ingress/unmarkedEnds.ts
@@ -9,21 +9,21 @@
 import type { SendToUpstream, UpstreamResponse } from "./upstreamAttempt.js";
 
 export type EndChecks = {
-    /** Whether connections to the upstream's address are refused. */
-    isPortClosed: (address: string, signal: AbortSignal) => Promise<boolean>;
+    /** Whether connections to the upstream's address open; false if that can't be told, so that a cut never looks whole. */
+    isPortOpen: (address: string, signal: AbortSignal) => Promise<boolean>;
     isLeaving: (upstreamId: string) => boolean;
 };
 
 const checkEnd = (
     response: UpstreamResponse,
     { id, address }: Upstream,
-    { isPortClosed, isLeaving }: EndChecks,
+    { isPortOpen, isLeaving }: EndChecks,
     signal: AbortSignal,
 ): UpstreamResponse => {
     let isMarked = false;
     async function* readBody(): AsyncGenerator<Buffer> {
         yield* response.body;
-        isMarked = response.ending().end === "closed" && (isLeaving(id) || !await isPortClosed(address, signal));
+        isMarked = response.ending().end === "closed" && (isLeaving(id) || await isPortOpen(address, signal));
     }
     return {
         ...response,
--- a/src/transport/ingress/checkedSender.ts
+++ b/src/transport/ingress/checkedSender.ts
@@ -8,7 +8,7 @@
 import type { SendToUpstream } from "../../coordination/ingress/upstreamAttempt.js";
 import { type NoticeRecorders, withNotices } from "../../coordination/ingress/upstreamNotices.js";
 import type { Clock } from "../../state/types.js";
-import { isPortClosed } from "./portCheck.js";
+import { isPortOpen } from "./portCheck.js";
 import type { RequestBuffers } from "./requestBuffers.js";
 import { createSender } from "./upstreamSender.js";
 
@@ -19,7 +19,7 @@
     notices: NoticeRecorders & { state: Pick<DeploymentState, "isLeaving">; },
     clock: Pick<Clock, "now">,
 ): CheckedSender => {
-    const checks = { isPortClosed, isLeaving: notices.state.isLeaving };
+    const checks = { isPortOpen, isLeaving: notices.state.isLeaving };
     return (message, body, buffers) =>
         withNotices(withCheckedEnds(createSender(headerAdapter, message, body, buffers), checks), notices, clock);
 };
--- a/src/transport/ingress/portCheck.ts
+++ b/src/transport/ingress/portCheck.ts
@@ -6,19 +6,33 @@
 
 const checkTimeoutMilliseconds = 150;
 
-/** Whether a connection to `address` (`ip:port`) is refused; false if it opens or nothing responds in time. */
-export const isPortClosed = (address: string, signal: AbortSignal): Promise<boolean> =>
+/** `open`: a connection opens; `closed`: it is refused; `unknown`: nothing responded in time, or the check was aborted. */
+type PortState = "open" | "closed" | "unknown";
+
+/** Checks `address` (`ip:port`). */
+const checkPort = (address: string, signal: AbortSignal): Promise<PortState> =>
     new Promise(resolve => {
         const socket = connect(splitAddress(address));
-        const settle = (isClosed: boolean): void => {
+        const settle = (state: PortState): void => {
             clearTimeout(timer);
             signal.removeEventListener("abort", abandon);
             socket.destroy();
-            resolve(isClosed);
+            resolve(state);
         };
-        const abandon = (): void => settle(false);
+        const abandon = (): void => settle("unknown");
         const timer = setTimeout(abandon, checkTimeoutMilliseconds);
         signal.addEventListener("abort", abandon);
-        socket.once("connect", abandon);
-        socket.on("error", (error: NodeJS.ErrnoException) => settle(error.code === "ECONNREFUSED"));
+        socket.once("connect", () => settle("open"));
+        socket.on(
+            "error",
+            (error: NodeJS.ErrnoException) => settle(error.code === "ECONNREFUSED" ? "closed" : "unknown"),
+        );
     });
+
+/** Whether a connection to `address` is refused; false also if that is unknown. */
+export const isPortClosed = async (address: string, signal: AbortSignal): Promise<boolean> =>
+    await checkPort(address, signal) === "closed";
+
+/** Whether a connection to `address` opens; false also if that is unknown. */
+export const isPortOpen = async (address: string, signal: AbortSignal): Promise<boolean> =>
+    await checkPort(address, signal) === "open";
