Don't take a plain service's broken answer for whole when it has no length

Cause: undici takes a reset for the end of a body that only its connection ends (client-h1, onHttpSocketError), and an orderly close of a dying service for the end as well. The agent passed the beginning of such an answer on as complete, and stored it as the answer of a call with an idempotency key.

Change: connections to agents and upstreams report a reset under another code, which undici fails the body for. The client of a plain service believes an end without a length only if the service's port is open just after, as the entry on the platform's path does.

Evidence: the three tests of an answer without a length that breaks off fail without the change and pass with it; the seven others passed before, so length, chunks, status 204 and HEAD were sound.

--- a/src/transport/serviceClient.ts
+++ b/src/transport/serviceClient.ts
@@ -1,12 +1,23 @@
 /**
  * HTTP client of an agent for its plain service.
+ *
+ * A service that dies closes its connections like one that has finished, so an answer whose end only its connection marks is
+ * whole if the service still accepts connections just after.
  */
 import { err, ok } from "neverthrow";
 import { type Dispatcher, request } from "undici";
 import type { ServiceClient } from "../coordination/upstreamClients.js";
 import { classifyUpstreamError } from "./engineClient.js";
+import { isPortOpen } from "./ingress/portCheck.js";
 import { createStreamDispatcher } from "./upstreamConnections.js";
 
+const bodilessStatuses = new Set([204, 304]);
+
+/** Whether only the end of its connection marks the end of the response to `method`. */
+const endsWithConnection = ({ statusCode, headers }: Dispatcher.ResponseData, method: string): boolean =>
+    headers["content-length"] === undefined && headers["transfer-encoding"] === undefined
+    && method !== "HEAD" && !bodilessStatuses.has(statusCode);
+
 const bodilessMethods = new Set(["GET", "HEAD"]);
 
 /** Creates the client of the service at `address` (`ip:port`). */
@@ -27,9 +38,13 @@
                     ...(bodilessMethods.has(attempt.method) ? {} : { body: attempt.body }),
                 });
                 const contentType = response.headers["content-type"];
+                const body = await response.body.text();
+                if (endsWithConnection(response, attempt.method) && !await isPortOpen(address, signal)) {
+                    return err({ kind: "crashed", reason: "the service closed its port with its answer" });
+                }
                 return ok({
                     status: response.statusCode,
-                    body: await response.body.text(),
+                    body,
                     ...(contentType === undefined ? {} : { contentType: String(contentType) }),
                 });
             }
--- a/src/transport/upstreamConnections.ts
+++ b/src/transport/upstreamConnections.ts
@@ -2,7 +2,7 @@
  * Connections to agents, upstreams and the platform: the dispatcher for streams, and the errors that guarantee that
  * nothing was sent.
  */
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 
 const connectTimeoutMilliseconds = 500;
 
@@ -15,10 +15,25 @@
 /** Whether `error` means that the connection was never established, so that nothing of the request was sent. */
 export const isConnectError = (error: unknown): boolean => connectErrorCodes.has(errorCode(error));
 
+const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+
+/** undici takes ECONNRESET for the end of a body that only its connection ends, so a reset is reported under another code. */
+const renameReset = (error: NodeJS.ErrnoException): void => {
+    if (error.code === "ECONNRESET") {
+        error.code = "UND_ERR_SOCKET";
+    }
+};
+
+const connectWithResets: buildConnector.connector = (options, callback) =>
+    connect(options, (...result) => {
+        result[1]?.on("error", renameReset);
+        callback(...result);
+    });
+
 /** Creates a dispatcher without response timeouts, for streams of any length; callers set their own timeouts. */
 export const createStreamDispatcher = (): Agent =>
     new Agent({
-        connect: { timeout: connectTimeoutMilliseconds },
+        connect: connectWithResets,
         connections: null,
         pipelining: 1,
         bodyTimeout: 0,
