Bound what is read from the store and from engines

Seen: a process with a rank's limits that reads 60 responses without end at once ran out of memory (chunks of one byte, trailers), had 588 to 2,421 MB resident (bodies; a rank's machine has 218), or answered others after 1.1 to 8.0 s (interim responses). An entry of 350 MB whose store sends so missed its bound too, and so did a rank agent whose engine does.

Cause: undici keeps a whole body, counts no interim responses, and keeps an object for each field of two bytes.

Why it works: each byte is charged before it is parsed and each chunk before it is kept, and a reader that has to wait leaves the bytes to TCP.

--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -19,6 +19,7 @@
 import { splitAddress } from "../address.js";
 import { startMetricsServer } from "../ingress/readinessServer.js";
 import type { Logger } from "../logger.js";
+import { peerReadMetricsText } from "../processReads.js";
 import { monotonicClock } from "../systemClock.js";
 import { createMapRelay, serveMapRelay } from "./mapRelay.js";
 import { startRankGossip } from "./rankGossip.js";
@@ -206,7 +207,7 @@
         isActive: wasActive,
         coordinator: coordinator?.status(),
     });
-    await startMetricsServer(config.metrics, metrics.text, dump);
+    await startMetricsServer(config.metrics, () => metrics.text() + peerReadMetricsText(), dump);
     await serveMapRelay(`${config.ip}:${gossipPort}`, {
         prepare: (epoch, version, map) =>
             adapter.engines.order(ownEngine, epoch, { kind: "prepare", version, map }, signal),
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -35,6 +35,7 @@
 import type { IngressConfig } from "../../protocol/ingressConfig.js";
 import { refusal } from "../../state/errors.js";
 import type { Logger } from "../logger.js";
+import { peerReadMetricsText } from "../processReads.js";
 import { monotonicClock } from "../systemClock.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 import { startBuffering } from "./buffering.js";
@@ -354,7 +355,8 @@
     });
     const configurationText = (): string =>
         configurationGauges(state.routeTable()?.configuration.version, sharedRecords.topicStates());
-    const metricsText = (): string => metrics.text() + configurationText() + (buffering?.metricsText() ?? "");
+    const metricsText = (): string =>
+        metrics.text() + configurationText() + (buffering?.metricsText() ?? "") + peerReadMetricsText();
     const metricsServer = await startMetricsServer(config.metrics, metricsText, describeState);
 
     return {
--- a/src/transport/requestWithTimeout.ts
+++ b/src/transport/requestWithTimeout.ts
@@ -4,9 +4,11 @@
 import { err, ok, type Result } from "neverthrow";
 import { Agent } from "undici";
 import { reasonOf } from "../state/errors.js";
+import { requestWhole } from "./boundedBody.js";
+import { pacedConnections } from "./pacedSocket.js";
 import { createTimeoutSignal } from "./timeoutSignal.js";
 
-const agent = new Agent();
+const agent = new Agent(pacedConnections("report"));
 
 /** Sends `body` with POST, or GET if undefined; the error is the reason why no complete response was received. */
 export const requestWithTimeout = async (
@@ -17,16 +19,16 @@
 ): Promise<Result<{ status: number; text: string; }, string>> => {
     const timeout = createTimeoutSignal(signal, timeoutMilliseconds);
     try {
-        const { origin, pathname, search } = new URL(url);
-        const response = await agent.request({
-            origin,
-            path: `${pathname}${search}`,
+        const response = await requestWhole({
+            dispatcher: agent,
+            url,
+            kind: "report",
             method: body === undefined ? "GET" : "POST",
             headers: { "content-type": "application/json" },
             ...(body === undefined ? {} : { body: JSON.stringify(body) }),
             signal: timeout.signal,
         });
-        return ok({ status: response.statusCode, text: await response.body.text() });
+        return ok({ status: response.status, text: response.body.toString("utf8") });
     }
     catch (error) {
         return err(reasonOf(error));
--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -2,6 +2,7 @@
  * Runs the project's programs as child processes and waits for the events that they print as JSON lines.
  */
 import { type ChildProcess, spawn } from "node:child_process";
+import { readFileSync } from "node:fs";
 import { createInterface } from "node:readline";
 
 export type ProgramEvent =
@@ -16,8 +17,13 @@
     /** Sends SIGKILL and waits for the exit. */
     kill: () => Promise<void>;
     output: () => string;
+    /** The most memory that was resident at once, in megabytes of 1,000,000 bytes; undefined once the process has exited. */
+    peakMegabytes: () => number | undefined;
 };
 
+const bytesPerKibibyte = 1_024;
+const bytesPerMegabyte = 1_000_000;
+
 export const testTokens = { CYCLAMENGAP_PEER_TOKEN: "peer-secret", CYCLAMENGAP_OPERATOR_TOKEN: "operator-secret" };
 
 const runningChildren = new Set<ChildProcess>();
@@ -80,6 +86,15 @@
             await exited;
         },
         output: () => output,
+        peakMegabytes: () => {
+            try {
+                const kibibytes = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${child.pid}/status`, "utf8"))?.[1];
+                return kibibytes === undefined ? undefined : Number(kibibytes) * bytesPerKibibyte / bytesPerMegabyte;
+            }
+            catch {
+                return undefined;
+            }
+        },
     };
 };
 
--- a/tests/support/slowCaller.ts
+++ b/tests/support/slowCaller.ts
@@ -81,7 +81,7 @@
         outgoing.end();
     });
 
-const freePort = (): Promise<number> =>
+export const freePort = (): Promise<number> =>
     new Promise(resolve => {
         const server = createServer().listen(0, "127.0.0.1", () => {
             const { port } = server.address() as AddressInfo;
@@ -105,6 +105,8 @@
     memoryMegabytes: number,
     servers: { id: string; address: string; service: string; }[],
     contracts = [slowReadersContract],
+    /** Gives the address at which the entry finds the store, by default the store's own. */
+    reachStore: (address: string) => Promise<string> = address => Promise.resolve(address),
 ): Promise<EntryProcess> => {
     const store = await startKeyedStore();
     const { routes, services } = standardConfiguration(1) as { routes: object[]; services: object[]; };
@@ -143,7 +145,7 @@
             ip: "127.0.0.1",
             internalPorts: [internal, internal],
             metrics: `127.0.0.1:${metrics}`,
-            store: { address: store.address },
+            store: { address: await reachStore(store.address) },
             callers: `127.0.0.1:${callers}`,
             readiness: `127.0.0.1:${readiness}`,
             graceSeconds: 1,
