Bound what is read from other entries and agents over tRPC

Seen: 60 reads of an entry's records at once, with bodies, interim responses and chunks of one byte that never end, held up the answers of their process for 1.12 s (bound 1 s); with bodies alone it had 1,493 MB resident.

Cause: tRPC's links call the global fetch, which reads a whole response without a limit and counts no interim responses.

Change: the links for records, permits and maps get a fetch of their own, which reads through the process's rule on sockets that are paced by it.

Why it works: what tRPC decodes is a body that the rule has let through, so it holds 16 MB at most and its bytes came at the rule's pace.

--- a/src/transport/experts/mapRelay.ts
+++ b/src/transport/experts/mapRelay.ts
@@ -16,6 +16,7 @@
 import { reasonOf } from "../../state/errors.js";
 import { splitAddress } from "../address.js";
 import { type Listener, listenLazily, type NodeBindings } from "../httpServer.js";
+import { peerFetch } from "../peerFetch.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 
 /** A map for each of a hundred ranks takes most of a second on the link of one machine. */
@@ -40,7 +41,9 @@
     }, address);
 
 const createClient = (address: string) =>
-    createTRPCClient<MapRelayRouter>({ links: [httpLink({ url: `http://${address}${mapRelayEndpoint}` })] });
+    createTRPCClient<MapRelayRouter>({
+        links: [httpLink({ url: `http://${address}${mapRelayEndpoint}`, fetch: peerFetch })],
+    });
 
 /** Reaches the agent of an engine at the engine's host and the agents' common `port`. */
 export const createMapRelay = (port: number): RelayPrepare => {
--- a/src/transport/ingress/recordRelay.ts
+++ b/src/transport/ingress/recordRelay.ts
@@ -12,6 +12,7 @@
     type RelayAnswer,
 } from "../../protocol/recordRelayRouter.js";
 import { reasonOf } from "../../state/errors.js";
+import { peerFetch } from "../peerFetch.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 
 /** Time for an answer in addition to its wait; a configuration with a thousand routes takes a part of it. */
@@ -31,7 +32,7 @@
 /** Reads the records of the entry that serves them at `address` (`ip:port`). */
 export const createRelayedSource = (address: string): RecordSource => {
     const client = createTRPCClient<RecordRelayRouter>({
-        links: [httpLink({ url: `http://${address}${recordRelayEndpoint}` })],
+        links: [httpLink({ url: `http://${address}${recordRelayEndpoint}`, fetch: peerFetch })],
     });
     const call = async (
         waitMilliseconds: number,
--- a/src/transport/ingress/requestPermitClient.ts
+++ b/src/transport/ingress/requestPermitClient.ts
@@ -7,6 +7,7 @@
 import type { PermitQuestion } from "../../coordination/ingress/upstreamLimits.js";
 import { requestPermitEndpoint, type RequestPermitRouter } from "../../protocol/requestPermitRouter.js";
 import { reasonOf } from "../../state/errors.js";
+import { peerFetch } from "../peerFetch.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 
 /** Many round trips between zones; the request then goes elsewhere. */
@@ -14,7 +15,7 @@
 
 const createClient = (address: string) =>
     createTRPCClient<RequestPermitRouter>({
-        links: [httpLink({ url: `http://${address}${requestPermitEndpoint}` })],
+        links: [httpLink({ url: `http://${address}${requestPermitEndpoint}`, fetch: peerFetch })],
     });
 
 export type AskForPermit = (
--- a/tests/ingress/endlessPeers.test.ts
+++ b/tests/ingress/endlessPeers.test.ts
@@ -45,7 +45,16 @@
     it("end no process that reads them, nor hold up its answers (store, pages that never end)", () =>
         expectBounded("store pages", ["pages"]));
 
-    for (const reader of ["store append", "engine report", "engine order"]) {
+    for (
+        const reader of [
+            "store append",
+            "engine report",
+            "engine order",
+            "entry records",
+            "entry permits",
+            "agent maps",
+        ]
+    ) {
         it(`end no process that reads them, nor hold up its answers (${reader})`, () =>
             expectBounded(reader, costliestForms));
     }
