Bound what the own path reads from its peers

Seen: with bodies, chunks of one byte and interim responses that never end, 60 at once, a process held up the answers beside them for 1.23 to 2.40 s (bound 1 s) while it read the log, the host list, a service, an engine's stream, an agent's answer or another daemon's gossip. Frames of an agent that never end did so for 1.3 s.

Change: all of these read through boundedBody and peerFetch on paced sockets. An engine's response that exceeds a bound is a cut answer, not a crash of the engine.

Why it works: no client of the own path is left that reads from a socket without asking the rule, and what it keeps of a response is within the budget.

--- a/src/transport/attemptClient.ts
+++ b/src/transport/attemptClient.ts
@@ -6,15 +6,16 @@
  * connections open.
  */
 import { err, ok, type Result } from "neverthrow";
-import { type Dispatcher, request } from "undici";
 import type {
     AttemptClient,
     AttemptFailure,
     ModelAttempt,
     ModelCompletion,
     ServiceAttempt,
+    ServiceResponse,
     TokenHandler,
 } from "../coordination/attempts.js";
+import type { PeerRead } from "../coordination/peerReads.js";
 import {
     agentRefusalSchema,
     attemptHeader,
@@ -24,13 +25,13 @@
     serviceReplySchema,
     silenceTimeoutMilliseconds,
 } from "../protocol/attemptProtocol.js";
-import type { HostRecord } from "../state/types.js";
+import { decodeJson } from "../protocol/decoding.js";
+import type { HostRecord, LoadReport } from "../state/types.js";
+import { type PeerResponse, readChunks, readWholeBody, requestFromPeer } from "./boundedBody.js";
 import { readLines } from "./lineReader.js";
 import { createTimeoutSignal } from "./timeoutSignal.js";
 import { createStreamDispatcher, isConnectError } from "./upstreamConnections.js";
 
-type AgentResponse = Dispatcher.ResponseData;
-
 const okStatus = 200;
 
 const connectionFailure = (error: unknown): AttemptFailure => {
@@ -94,14 +95,14 @@
 };
 
 const readFrames = async (
-    response: AgentResponse,
+    chunks: AsyncIterable<Buffer>,
     attempt: ModelAttempt,
     onToken: TokenHandler,
     onActivity: () => void,
 ): Promise<Result<ModelCompletion, AttemptFailure>> => {
     const handleLine = createFrameHandler(attempt, onToken);
     let result: Result<ModelCompletion, AttemptFailure> | undefined;
-    for await (const lines of readLines(response.body)) {
+    for await (const lines of readLines(chunks)) {
         onActivity();
         for (const line of lines) {
             result ??= handleLine(line);
@@ -114,22 +115,41 @@
     return result ?? err({ kind: "cut", reason: "response ended without a closing frame" });
 };
 
-const decodeRefusal = async (response: AgentResponse): Promise<AttemptFailure> => {
-    const body: unknown = await response.body.json().catch(() => undefined);
-    const parsed = agentRefusalSchema.safeParse(body);
+const decodeRefusal = async ({ status, body }: PeerResponse, read: PeerRead): Promise<AttemptFailure> => {
+    const parsed = agentRefusalSchema.safeParse(
+        decodeJson((await readWholeBody(body, read)).toString("utf8")).unwrapOr(undefined),
+    );
     if (!parsed.success) {
-        return { kind: "cut", reason: `agent responded with status ${response.statusCode} without a valid refusal` };
+        return { kind: "cut", reason: `agent responded with status ${status} without a valid refusal` };
     }
     return { kind: "refused", ...parsed.data };
 };
 
+const decodeReply = (
+    body: Buffer,
+    attempt: ServiceAttempt,
+): Result<{ answer: ServiceResponse; load: LoadReport; }, AttemptFailure> => {
+    const reply = serviceReplySchema.safeParse(decodeJson(body.toString("utf8")).unwrapOr(undefined));
+    return reply.success && reply.data.attempt === attempt.attempt
+        ? ok({ answer: reply.data.answer, load: reply.data.load })
+        : err({ kind: "cut", reason: "agent response is invalid or belongs to another attempt" });
+};
+
 /** Creates the client; `peerToken` authenticates the entry to the agents. */
 export const createAttemptClient = (peerToken: string): AttemptClient => {
     const dispatcher = createStreamDispatcher();
-    const send = (upstream: HostRecord, path: string, attempt: ModelAttempt | ServiceAttempt, signal: AbortSignal) =>
-        request(`http://${upstream.address}${path}`, {
-            method: "POST",
+    const send = <Value>(
+        upstream: HostRecord,
+        path: string,
+        attempt: ModelAttempt | ServiceAttempt,
+        signal: AbortSignal,
+        consume: (response: PeerResponse, read: PeerRead) => Promise<Value>,
+    ): Promise<Value> =>
+        requestFromPeer({
             dispatcher,
+            url: `http://${upstream.address}${path}`,
+            kind: "stream",
+            method: "POST",
             signal,
             headers: {
                 "content-type": "application/json",
@@ -137,18 +157,23 @@
                 [attemptHeader]: attempt.attempt,
             },
             body: JSON.stringify(attempt),
-        });
+        }, consume);
 
     return {
         runModel: async (upstream, attempt, onToken, signal) => {
             const attemptTimeout = createTimeoutSignal(signal, attempt.timeoutMilliseconds);
             const silenceTimeout = createTimeoutSignal(attemptTimeout.signal, silenceTimeoutMilliseconds);
             try {
-                const response = await send(upstream, "/attempts/model", attempt, silenceTimeout.signal);
-                if (response.statusCode !== okStatus) {
-                    return err(await decodeRefusal(response));
-                }
-                return await readFrames(response, attempt, onToken, silenceTimeout.restart);
+                return await send(
+                    upstream,
+                    "/attempts/model",
+                    attempt,
+                    silenceTimeout.signal,
+                    async (response, read) =>
+                        response.status === okStatus
+                            ? readFrames(readChunks(response.body, read), attempt, onToken, silenceTimeout.restart)
+                            : err(await decodeRefusal(response, read)),
+                );
             }
             catch (error) {
                 return err(connectionFailure(error));
@@ -161,15 +186,16 @@
         runService: async (upstream, attempt, signal) => {
             const attemptTimeout = createTimeoutSignal(signal, attempt.timeoutMilliseconds);
             try {
-                const response = await send(upstream, "/attempts/service", attempt, attemptTimeout.signal);
-                if (response.statusCode !== okStatus) {
-                    return err(await decodeRefusal(response));
-                }
-                const reply = serviceReplySchema.safeParse(await response.body.json());
-                if (!reply.success || reply.data.attempt !== attempt.attempt) {
-                    return err({ kind: "cut", reason: "agent response is invalid or belongs to another attempt" });
-                }
-                return ok({ answer: reply.data.answer, load: reply.data.load });
+                return await send(
+                    upstream,
+                    "/attempts/service",
+                    attempt,
+                    attemptTimeout.signal,
+                    async (response, read) =>
+                        response.status === okStatus
+                            ? decodeReply(await readWholeBody(response.body, read), attempt)
+                            : err(await decodeRefusal(response, read)),
+                );
             }
             catch (error) {
                 return err(connectionFailure(error));
--- a/src/transport/boundedBody.ts
+++ b/src/transport/boundedBody.ts
@@ -101,6 +101,32 @@
     return collector.takeAll();
 };
 
+const lineFeed = 0x0a;
+
+/** Lines that end in `chunk`, without the empty ones between events. */
+const countLines = (chunk: Buffer): number => {
+    let lines = 0;
+    for (let end = chunk.indexOf(lineFeed); end >= 0; end = chunk.indexOf(lineFeed, end + 1)) {
+        lines += end > 0 && chunk[end - 1] !== lineFeed ? 1 : 0;
+    }
+    return lines;
+};
+
+/** Yields the chunks of a body of lines as the rule allows; rejects if it exceeds a bound or breaks off. */
+export async function* readChunks(body: Readable, read: PeerRead): AsyncGenerator<Buffer> {
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+        const verdict = read.take(chunk.length, Math.max(1, countLines(chunk)));
+        if (verdict.kind === "end") {
+            body.destroy(createPeerReadError(verdict.reason));
+            continue;
+        }
+        if (verdict.afterMilliseconds > 0) {
+            await new Promise(resolve => setTimeout(resolve, verdict.afterMilliseconds));
+        }
+        yield chunk;
+    }
+}
+
 /** Rejects with the reason of `signal` when it aborts; the operation itself may end later. */
 const untilAborted = async <Value>(operation: Promise<Value>, signal: AbortSignal): Promise<Value> => {
     let stopWaiting = (): void => undefined;
--- a/src/transport/engineClient.ts
+++ b/src/transport/engineClient.ts
@@ -5,11 +5,12 @@
  * have been observed to mix up responses. A connection that breaks during a response counts as a crash of the engine.
  */
 import { err, ok, type Result } from "neverthrow";
-import { request } from "undici";
 import { z } from "zod";
 import type { ModelAttempt, TokenHandler } from "../coordination/attempts.js";
 import type { EngineClient, UpstreamFailure } from "../coordination/upstreamClients.js";
+import { readChunks, readWholeBody, requestFromPeer, requestWhole } from "./boundedBody.js";
 import { readLines } from "./lineReader.js";
+import { isPeerReadError } from "./processReads.js";
 import { createTimeoutSignal } from "./timeoutSignal.js";
 import { createStreamDispatcher } from "./upstreamConnections.js";
 
@@ -71,13 +72,13 @@
 const connectErrorCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"]);
 
 /**
- * Classifies a failed call to an upstream; if `signal` has aborted, the cause was a timeout or cancellation, not a
+ * Classifies a failed call to an upstream; if `signal` has aborted or the response exceeded a bound, the cause was not a
  * crash.
  */
 export const classifyUpstreamError = (error: unknown, signal: AbortSignal): UpstreamFailure => {
     const { code, message } = error as { code?: string; message?: string; };
     const reason = `${code ?? "error"}: ${message ?? ""}`;
-    if (signal.aborted) {
+    if (signal.aborted || isPeerReadError(error)) {
         return { kind: "cut", reason };
     }
     return { kind: code !== undefined && connectErrorCodes.has(code) ? "unreachable" : "crashed", reason };
@@ -89,9 +90,11 @@
     return {
         generate: async (attempt, onIncarnation, onToken, signal) => {
             try {
-                const response = await request(`http://${address}/v1/completions`, {
-                    method: "POST",
+                return await requestFromPeer({
                     dispatcher,
+                    url: `http://${address}/v1/completions`,
+                    kind: "stream",
+                    method: "POST",
                     signal,
                     headers: { "content-type": "application/json" },
                     body: JSON.stringify({
@@ -102,16 +105,17 @@
                         priority: attempt.priority,
                         resume_from: attempt.resumeFrom,
                     }),
+                }, async ({ status, headers, body }, read) => {
+                    const incarnation = headers[incarnationHeader];
+                    if (typeof incarnation === "string") {
+                        onIncarnation(incarnation);
+                    }
+                    if (status !== okStatus) {
+                        await readWholeBody(body, read);
+                        return err({ kind: "refused", reason: `the engine answered status ${status}` });
+                    }
+                    return readCompletion(readChunks(body, read), attempt, onToken);
                 });
-                const incarnation = response.headers["x-engine-incarnation"];
-                if (typeof incarnation === "string") {
-                    onIncarnation(incarnation);
-                }
-                if (response.statusCode !== okStatus) {
-                    await response.body.dump();
-                    return err({ kind: "refused", reason: `the engine answered status ${response.statusCode}` });
-                }
-                return await readCompletion(response.body, attempt, onToken);
             }
             catch (error) {
                 return err(classifyUpstreamError(error, signal));
@@ -120,8 +124,14 @@
         load: async signal => {
             const timeout = createTimeoutSignal(signal, loadTimeoutMilliseconds);
             try {
-                const response = await request(`http://${address}/load`, { dispatcher, signal: timeout.signal });
-                const parsed = loadSchema.safeParse(await response.body.json());
+                const response = await requestWhole({
+                    dispatcher,
+                    url: `http://${address}/load`,
+                    kind: "report",
+                    method: "GET",
+                    signal: timeout.signal,
+                });
+                const parsed = loadSchema.safeParse(JSON.parse(response.body.toString("utf8")));
                 // The report lags and may predate a restart; the header names the current incarnation.
                 const incarnation = response.headers[incarnationHeader];
                 return parsed.success
--- a/src/transport/groupPeers.ts
+++ b/src/transport/groupPeers.ts
@@ -14,6 +14,7 @@
 import type { HostRecord } from "../state/types.js";
 import type { NodeBindings } from "./httpServer.js";
 import { requireToken } from "./operatorRoutes.js";
+import { peerFetch } from "./peerFetch.js";
 import { createTimeoutSignal } from "./timeoutSignal.js";
 
 const timeoutMilliseconds = 1_000;
@@ -56,7 +57,7 @@
         const headers = { authorization: `Bearer ${peerToken}` };
         const bounded = createTimeoutSignal(signal, timeout);
         try {
-            const client = createTRPCClient<GroupRouter>({ links: [httpLink({ url, headers })] });
+            const client = createTRPCClient<GroupRouter>({ links: [httpLink({ url, headers, fetch: peerFetch })] });
             return ok(await action(client, bounded.signal));
         }
         catch (error) {
--- a/src/transport/hostListClient.ts
+++ b/src/transport/hostListClient.ts
@@ -6,13 +6,16 @@
  * traffic.
  */
 import { err, ok, type Result } from "neverthrow";
-import { request } from "undici";
+import { Agent } from "undici";
 import type { HostList, HostListFailure } from "../coordination/hostListFollower.js";
 import { describeDecodingError } from "../protocol/decoding.js";
 import { decodeHostList } from "../protocol/hostListMessages.js";
+import { requestWhole } from "./boundedBody.js";
+import { pacedConnections } from "./pacedSocket.js";
 import { createTimeoutSignal } from "./timeoutSignal.js";
 
 const timeoutMilliseconds = 2_000;
+const agent = new Agent(pacedConnections("store"));
 const okStatus = 200;
 const notModifiedStatus = 304;
 
@@ -33,15 +36,21 @@
     const timeout = createTimeoutSignal(signal, timeoutMilliseconds);
     try {
         const headers = knownVersion === noVersion ? {} : { "if-none-match": `"${knownVersion}"` };
-        const response = await request(`${platform}/hosts`, { headers, signal: timeout.signal });
-        const text = await response.body.text();
-        if (response.statusCode === notModifiedStatus) {
+        const { status, body } = await requestWhole({
+            dispatcher: agent,
+            url: `${platform}/hosts`,
+            kind: "store",
+            method: "GET",
+            headers,
+            signal: timeout.signal,
+        });
+        if (status === notModifiedStatus) {
             return ok(undefined);
         }
-        if (response.statusCode !== okStatus) {
-            return err({ kind: "unavailable", reason: `host list request failed with status ${response.statusCode}` });
+        if (status !== okStatus) {
+            return err({ kind: "unavailable", reason: `host list request failed with status ${status}` });
         }
-        return decodeHostList(text)
+        return decodeHostList(body.toString("utf8"))
             .mapErr(failure => ({ kind: "unavailable", reason: describeDecodingError(failure) }));
     }
     catch (error) {
--- a/src/transport/logClient.ts
+++ b/src/transport/logClient.ts
@@ -7,17 +7,19 @@
  */
 import { err } from "neverthrow";
 import type { Result } from "neverthrow";
-import { request } from "undici";
-import type { Dispatcher } from "undici";
+import { Agent, type Dispatcher } from "undici";
 import { z } from "zod";
 import type { AppendFailure, LogStream, ReadFailure } from "../coordination/logStream.js";
 import { decodeJsonAs, describeDecodingError } from "../protocol/decoding.js";
 import { reasonOf } from "../state/errors.js";
 import type { LogSlice } from "../state/types.js";
+import { type PeerRequest, requestWhole } from "./boundedBody.js";
+import { pacedConnections } from "./pacedSocket.js";
 import { createTimeoutSignal } from "./timeoutSignal.js";
 import { isConnectError } from "./upstreamConnections.js";
 
 const defaultTimeoutMilliseconds = 5_000;
+const agent = new Agent(pacedConnections("store"));
 const defaultRecordsPerRead = 512;
 
 const appendResponseSchema = z.object({ offset: z.int().min(0) });
@@ -49,23 +51,25 @@
 /** Creates a client for one stream; it sends nothing before the first append or read. */
 export const createLogClient = <Body>(options: LogClientOptions): LogStream<Body> => {
     const { platform, stream, timeoutMilliseconds = defaultTimeoutMilliseconds } = options;
-    const { recordsPerRead = defaultRecordsPerRead, dispatcher } = options;
+    const { recordsPerRead = defaultRecordsPerRead, dispatcher = agent } = options;
     const url = `${platform}/log/${encodeURIComponent(stream)}/records`;
 
     const sendRequest = async (
         target: string,
-        parameters: object,
+        parameters: Pick<PeerRequest, "method" | "headers" | "body">,
         timeout: number,
         signal: AbortSignal,
     ): Promise<LogResponse> => {
         const timeoutSignal = createTimeoutSignal(signal, timeout);
         try {
-            const response = await request(target, {
+            const { status, body } = await requestWhole({
                 ...parameters,
-                ...(dispatcher === undefined ? {} : { dispatcher }),
+                dispatcher,
+                url: target,
+                kind: "store",
                 signal: timeoutSignal.signal,
             });
-            return { status: response.statusCode, text: await response.body.text() };
+            return { status, text: body.toString("utf8") };
         }
         finally {
             timeoutSignal.dispose();
@@ -77,7 +81,7 @@
             return err({ kind: "refused", reason: "append was cancelled before it was sent" });
         }
         const parameters = {
-            method: "POST",
+            method: "POST" as const,
             headers: { "content-type": "application/json" },
             body: JSON.stringify(body),
         };
--- a/src/transport/operatorClient.ts
+++ b/src/transport/operatorClient.ts
@@ -4,14 +4,18 @@
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
-import { request } from "undici";
+import { Agent } from "undici";
 import type { ZoneOrder, ZoneState } from "../coordination/zoneOrders.js";
 import { operatorEndpoint } from "../protocol/controlPaths.js";
 import type { OperatorRouter } from "../protocol/operatorRouter.js";
 import { reasonOf } from "../state/errors.js";
+import { requestWhole } from "./boundedBody.js";
+import { pacedConnections } from "./pacedSocket.js";
+import { peerFetch } from "./peerFetch.js";
 import { createTimeoutSignal } from "./timeoutSignal.js";
 
 const timeoutMilliseconds = 5_000;
+const agent = new Agent(pacedConnections("entry"));
 
 const callWithTimeout = async <Value>(
     signal: AbortSignal,
@@ -39,7 +43,7 @@
 ): Promise<Result<ZoneOrder, string>> => {
     const headers = { authorization: `Bearer ${token}` };
     const client = createTRPCClient<OperatorRouter>({
-        links: [httpLink({ url: `http://${address}${operatorEndpoint}`, headers })],
+        links: [httpLink({ url: `http://${address}${operatorEndpoint}`, headers, fetch: peerFetch })],
     });
     return callWithTimeout(
         signal,
@@ -51,10 +55,14 @@
 /** Fetches the state dump of the daemon at `address` as JSON text; the error is a message. */
 export const fetchDump = (address: string, token: string, signal: AbortSignal): Promise<Result<string, string>> =>
     callWithTimeout(signal, async timeoutSignal => {
-        const response = await request(`http://${address}/state`, {
+        const { status, body } = await requestWhole({
+            dispatcher: agent,
+            url: `http://${address}/state`,
+            kind: "entry",
+            method: "GET",
             headers: { authorization: `Bearer ${token}` },
             signal: timeoutSignal,
         });
-        const text = await response.body.text();
-        return response.statusCode === 200 ? ok(text) : err(`status ${response.statusCode}: ${text.slice(0, 200)}`);
+        const text = body.toString("utf8");
+        return status === 200 ? ok(text) : err(`status ${status}: ${text.slice(0, 200)}`);
     });
--- a/src/transport/pacedSocket.ts
+++ b/src/transport/pacedSocket.ts
@@ -155,8 +155,9 @@
 export const pacedConnections = (
     kind: PeerReadKind,
     connectTimeoutMilliseconds?: number,
+    maxHeaderSize = maximumHeadBytes,
 ): { connect: buildConnector.connector; pipelining: number; maxHeaderSize: number; } => ({
     connect: connectPaced(kind, connectTimeoutMilliseconds),
     pipelining: 1,
-    maxHeaderSize: maximumHeadBytes,
+    maxHeaderSize,
 });
--- a/src/transport/serviceClient.ts
+++ b/src/transport/serviceClient.ts
@@ -2,8 +2,9 @@
  * HTTP client of an agent for its plain service.
  */
 import { err, ok } from "neverthrow";
-import { type Dispatcher, request } from "undici";
+import type { Dispatcher } from "undici";
 import type { ServiceClient } from "../coordination/upstreamClients.js";
+import { requestWhole } from "./boundedBody.js";
 import { classifyUpstreamError } from "./engineClient.js";
 import { createStreamDispatcher } from "./upstreamConnections.js";
 
@@ -15,9 +16,11 @@
     return {
         call: async (attempt, signal) => {
             try {
-                const response = await request(`http://${address}${attempt.path}`, {
-                    method: attempt.method as Dispatcher.HttpMethod,
+                const response = await requestWhole({
                     dispatcher,
+                    url: `http://${address}${attempt.path}`,
+                    kind: "answer",
+                    method: attempt.method as Dispatcher.HttpMethod,
                     signal,
                     headers: {
                         "x-request-id": attempt.requestId,
@@ -28,8 +31,8 @@
                 });
                 const contentType = response.headers["content-type"];
                 return ok({
-                    status: response.statusCode,
-                    body: await response.body.text(),
+                    status: response.status,
+                    body: response.body.toString("utf8"),
                     ...(contentType === undefined ? {} : { contentType: String(contentType) }),
                 });
             }
--- a/src/transport/upstreamConnections.ts
+++ b/src/transport/upstreamConnections.ts
@@ -3,8 +3,11 @@
  * nothing was sent.
  */
 import { Agent } from "undici";
+import { pacedConnections } from "./pacedSocket.js";
 
 const connectTimeoutMilliseconds = 500;
+/** Services may send any header fields. */
+const maximumHeadBytes = 16_384;
 
 const connectErrorCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 
@@ -18,9 +21,8 @@
 /** Creates a dispatcher without response timeouts, for streams of any length; callers set their own timeouts. */
 export const createStreamDispatcher = (): Agent =>
     new Agent({
-        connect: { timeout: connectTimeoutMilliseconds },
+        ...pacedConnections("stream", connectTimeoutMilliseconds, maximumHeadBytes),
         connections: null,
-        pipelining: 1,
         bodyTimeout: 0,
         headersTimeout: 0,
     });
