--- a/src/transport/serviceClient.ts
+++ b/src/transport/serviceClient.ts
@@ -5,8 +5,9 @@
  * whole if the service still accepts connections just after.
  */
 import { err, ok } from "neverthrow";
-import { type Dispatcher, request } from "undici";
+import type { Dispatcher } from "undici";
 import type { ServiceClient } from "../coordination/upstreamClients.js";
+import { requestWhole, type WholeResponse } from "./boundedBody.js";
 import { classifyUpstreamError } from "./engineClient.js";
 import { isPortOpen } from "./ingress/portCheck.js";
 import { createStreamDispatcher } from "./upstreamConnections.js";
@@ -14,9 +15,9 @@
 const bodilessStatuses = new Set([204, 304]);
 
 /** Whether only the end of its connection marks the end of the response to `method`. */
-const endsWithConnection = ({ statusCode, headers }: Dispatcher.ResponseData, method: string): boolean =>
+const endsWithConnection = ({ status, headers }: WholeResponse, method: string): boolean =>
     headers["content-length"] === undefined && headers["transfer-encoding"] === undefined
-    && method !== "HEAD" && !bodilessStatuses.has(statusCode);
+    && method !== "HEAD" && !bodilessStatuses.has(status);
 
 const bodilessMethods = new Set(["GET", "HEAD"]);
 
@@ -26,9 +27,11 @@
     return {
         call: async (attempt, signal) => {
             try {
-                const response = await request(`http://${address}${attempt.path}`, {
-                    method: attempt.method as Dispatcher.HttpMethod,
+                const response = await requestWhole({
                     dispatcher,
+                    url: `http://${address}${attempt.path}`,
+                    kind: "answer",
+                    method: attempt.method as Dispatcher.HttpMethod,
                     signal,
                     headers: {
                         "x-request-id": attempt.requestId,
@@ -38,13 +41,12 @@
                     ...(bodilessMethods.has(attempt.method) ? {} : { body: attempt.body }),
                 });
                 const contentType = response.headers["content-type"];
-                const body = await response.body.text();
                 if (endsWithConnection(response, attempt.method) && !await isPortOpen(address, signal)) {
                     return err({ kind: "crashed", reason: "the service closed its port with its answer" });
                 }
                 return ok({
-                    status: response.statusCode,
-                    body,
+                    status: response.status,
+                    body: response.body.toString("utf8"),
                     ...(contentType === undefined ? {} : { contentType: String(contentType) }),
                 });
             }
--- a/src/transport/upstreamConnections.ts
+++ b/src/transport/upstreamConnections.ts
@@ -2,9 +2,12 @@
  * Connections to agents, upstreams and the platform: the dispatcher for streams, and the errors that guarantee that
  * nothing was sent.
  */
-import { Agent, buildConnector } from "undici";
+import { Agent } from "undici";
+import { pacedConnections } from "./pacedSocket.js";
 
 const connectTimeoutMilliseconds = 500;
+/** Services may send any header fields. */
+const maximumHeadBytes = 16_384;
 
 const connectErrorCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 
@@ -15,27 +18,11 @@
 /** Whether `error` means that the connection was never established, so that nothing of the request was sent. */
 export const isConnectError = (error: unknown): boolean => connectErrorCodes.has(errorCode(error));
 
-const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
-
-/** undici takes ECONNRESET for the end of a body that only its connection ends, so a reset is reported under another code. */
-const renameReset = (error: NodeJS.ErrnoException): void => {
-    if (error.code === "ECONNRESET") {
-        error.code = "UND_ERR_SOCKET";
-    }
-};
-
-const connectWithResets: buildConnector.connector = (options, callback) =>
-    connect(options, (...result) => {
-        result[1]?.on("error", renameReset);
-        callback(...result);
-    });
-
 /** Creates a dispatcher without response timeouts, for streams of any length; callers set their own timeouts. */
 export const createStreamDispatcher = (): Agent =>
     new Agent({
-        connect: connectWithResets,
+        ...pacedConnections("stream", connectTimeoutMilliseconds, maximumHeadBytes),
         connections: null,
-        pipelining: 1,
         bodyTimeout: 0,
         headersTimeout: 0,
     });
