Don't take an event without its data for the end of a stream

Cause: behind the last event, whole lines at a marked end counted as an event that only lacks its empty line, also where they were its id or type alone. A stream that a server ended inside an event (PROTOCOL.md allows it to stop there) went to the caller with half an event, as complete, and wasn't resumed.

Change: fields without data need the confirmation by another attempt, as an end inside a line does. A stream that may not be resumed is passed on as before.

--- a/src/coordination/ingress/eventSplitter.ts
+++ b/src/coordination/ingress/eventSplitter.ts
@@ -17,6 +17,8 @@
 export type UnfinishedEvent = StreamEvent & {
     /** Whether they end with a line, so that only the empty line is missing. */
     endsWithLine: boolean;
+    /** Whether they have fields but no data, which an event has: the rest of the event is missing. */
+    lacksData: boolean;
 };
 
 export type EventSplitter = {
@@ -41,6 +43,8 @@
 const unfinishedPattern = new RegExp(`${leadingPattern}${linesPattern}(?:[\\w-]*(?::[^\\r\\n]*)?)$`);
 /** A status line at the end of a line, followed by a header field. */
 const responseHeadPattern = /HTTP\/1\.[01] \d{3}[^\r\n]*\r?\n(?!(?:data|event|id|retry)?:)[\w-]+:/;
+const fieldPattern = /(?:^|[\r\n])[\w-]/;
+const dataPattern = /(?:^|[\r\n])data[:\r\n]/;
 const idPattern = /(?:^|[\r\n])id: ?([^\r\n]*)/;
 
 const toEvent = (bytes: Buffer, pattern: RegExp): StreamEvent => {
@@ -95,6 +99,8 @@
         unfinished: () =>
             buffered.length === 0 ? undefined : {
                 ...toEvent(buffered, unfinishedPattern),
+                lacksData: fieldPattern.test(buffered.toString("latin1"))
+                    && !dataPattern.test(buffered.toString("latin1")),
                 endsWithLine: [lineFeed, carriageReturn].includes(buffered.at(-1) ?? 0),
             },
     };
--- a/src/coordination/ingress/streamProgress.ts
+++ b/src/coordination/ingress/streamProgress.ts
@@ -24,8 +24,8 @@
 
 /**
  * Whether a stream is whole that ended so, with `unfinished` behind its last event. Servers may leave out the empty line behind
- * it, or the line's end; but an end inside a line, or one that only the connection marks, may also be a cut. Then another
- * attempt tells, if there may be one: what ends the same way twice is the server's answer.
+ * it, or the line's end; but an end inside a line or before an event's data, or one that only the connection marks, may also be
+ * a cut. Then another attempt tells, if there may be one: what ends the same way twice is the server's answer.
  */
 export const isWholeStream = (
     ending: BodyEnding,
@@ -37,7 +37,9 @@
     if (!isWholeBody(ending) || unfinished?.isWellFormed === false) {
         return false;
     }
-    if (unfinished === undefined || unfinished.endsWithLine && ending.framing !== "connection") {
+    if (
+        unfinished === undefined || unfinished.endsWithLine && !unfinished.lacksData && ending.framing !== "connection"
+    ) {
         return true;
     }
     const isConfirmed = eventsInAttempt === 0 && progress.unfinished?.equals(unfinished.bytes) === true;
--- a/tests/ingress/answerEnds.test.ts
+++ b/tests/ingress/answerEnds.test.ts
@@ -225,6 +225,22 @@
         });
     }
 
+    for (const partialEvent of ["id: 3\n", "id: 3\nda", "id: 3\ndata: pi", "event: piece\nid: 3\n"]) {
+        it(`isn't taken from a server that ends its chunks inside an event: ${JSON.stringify(partialEvent)}`, async () => {
+            let isFirst = true;
+            const script: Script = {
+                onRequest: (socket, { requestId, lastEventId }) => {
+                    const body = isFirst ? eventsAfter(0).split("id: 3")[0] + partialEvent : eventsAfter(lastEventId);
+                    isFirst = false;
+                    socket.write(`${head(200, requestId, { ...streamType, ...chunked })}${chunk(body)}0\r\n\r\n`);
+                },
+            };
+            await serve("model", script, script);
+            const given = await talk();
+            expect([given.body, given.isComplete]).to.deep.equal([eventsAfter(0), true]);
+        });
+    }
+
     describe("that only its connection marks", () => {
         const unmarkedHead = (id: string, fields = {}): string => head(200, id, { Connection: "close", ...fields });
         const broken = (partialBody: string, end: (socket: Socket) => void, fields = {}): Script => ({
