Deliver streams without a length whose last event lacks its empty line

Streams that may not be resumed were broken off in each such case, though a stream without a length is otherwise believed if its server closed it in order and still accepts connections. Those that may be resumed were asked for once more, and then given up if a comment of its own stood before the event, as that counted as an event of the second attempt.

Whole comments at the end are now passed over, the end of a line is believed where nothing else can tell, and two attempts agree if they end with the same bytes behind the same event. An end inside a line is still taken for a cut where the stream may not be resumed and has no length.

--- a/src/coordination/ingress/streamProgress.ts
+++ b/src/coordination/ingress/streamProgress.ts
@@ -14,33 +14,41 @@
     longestPauseMilliseconds: number;
     /** Until when it was last held back for its caller; infinite while it is. */
     heldBackUntil: number;
-    /** Part of an event with which the last attempt ended. */
-    unfinished: Buffer | undefined;
+    /** Part of an event with which the last attempt ended, and the last event before it. */
+    unfinished: { afterEventId: string | undefined; bytes: Buffer; } | undefined;
 };
 
 /** Whether the event follows the last one that the caller has received; ids are increasing integers. */
 export const isNewer = ({ id }: StreamEvent, { lastEventId }: StreamProgress): boolean =>
     lastEventId === undefined || id === undefined || Number(id) > Number(lastEventId);
 
+/** Nothing but whole comments, of which a caller misses none. */
+const commentsPattern = /^(?::[^\r\n]*(?:\r\n|\n|\r))+$/;
+
 /**
  * Whether a stream is whole that ended so, with `unfinished` behind its last event. Servers may leave out the empty line behind
  * it, or the line's end; but an end inside a line, or one that only the connection marks, may also be a cut. Then another
- * attempt tells, if there may be one: what ends the same way twice is the server's answer.
+ * attempt tells, if there may be one: what ends the same way twice is the server's answer. Otherwise the end of a line is
+ * believed: a server that died, or a connection that was reset, is no whole body.
  */
 export const isWholeStream = (
     ending: BodyEnding,
     unfinished: UnfinishedEvent | undefined,
-    eventsInAttempt: number,
     route: Pick<IngressRoute, "isResumable">,
     progress: StreamProgress,
 ): boolean => {
     if (!isWholeBody(ending) || unfinished?.isWellFormed === false) {
         return false;
     }
-    if (unfinished === undefined || unfinished.endsWithLine && ending.framing !== "connection") {
+    const isMarked = ending.framing !== "connection";
+    if (
+        unfinished === undefined || unfinished.endsWithLine && isMarked
+        || commentsPattern.test(unfinished.bytes.toString("latin1"))
+    ) {
         return true;
     }
-    const isConfirmed = eventsInAttempt === 0 && progress.unfinished?.equals(unfinished.bytes) === true;
-    progress.unfinished = unfinished.bytes;
-    return isConfirmed || !route.isResumable && ending.framing !== "connection";
+    const { lastEventId, unfinished: previous } = progress;
+    const isConfirmed = previous?.afterEventId === lastEventId && previous?.bytes.equals(unfinished.bytes) === true;
+    progress.unfinished = { afterEventId: lastEventId, bytes: unfinished.bytes };
+    return isConfirmed || !route.isResumable && (isMarked || unfinished.endsWithLine);
 };
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -121,7 +121,7 @@
         held?.add(-heldPendingBytes);
         const ending = { ...response.ending(), pendingBytes: splitter.pendingBytes() };
         const unfinished = splitter.unfinished();
-        if (!isWholeStream(ending, unfinished, eventsInAttempt, route, progress)) {
+        if (!isWholeStream(ending, unfinished, route, progress)) {
             return { kind: "broken", reason: "the event stream was cut off", isOwnDoing: pace.wasHeldBack(), ending };
         }
         if (!sink.hasStarted()) {
