Bound the bodies of requests from other entries and agents

Seen: a rank agent to which 60 callers send maps without end had 4,180 MB resident; its machine has 218.

Cause: tRPC's handler reads the whole body of a request without a limit, until the 10 s for a request are over.

Change: requests for maps, permits, gossip and reports of a group are read through the process's rule before tRPC gets them. One that exceeds a bound is answered with 413 and its connection closed.

Permits, gossip and reports of a group have no such test of their own.

Why it works: a body counts against the budget of all reads while it arrives, and the reader stops where the rule says to wait or to end.

--- a/src/transport/experts/mapRelay.ts
+++ b/src/transport/experts/mapRelay.ts
@@ -15,6 +15,7 @@
 } from "../../protocol/mapRelayRouter.js";
 import { reasonOf } from "../../state/errors.js";
 import { splitAddress } from "../address.js";
+import { withBoundedBody } from "../boundedRequest.js";
 import { type Listener, listenLazily, type NodeBindings } from "../httpServer.js";
 import { peerFetch } from "../peerFetch.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
@@ -30,13 +31,14 @@
             import("@trpc/server/adapters/fetch"),
         ]);
         const application = new Hono<NodeBindings>();
-        application.all(`${mapRelayEndpoint}/*`, ({ req }) =>
-            fetchRequestHandler({
-                endpoint: mapRelayEndpoint,
-                req: req.raw,
-                router: mapRelayRouter,
-                createContext: () => context,
-            }));
+        application.all(`${mapRelayEndpoint}/*`, route =>
+            withBoundedBody(route, req =>
+                fetchRequestHandler({
+                    endpoint: mapRelayEndpoint,
+                    req,
+                    router: mapRelayRouter,
+                    createContext: () => context,
+                })));
         return application;
     }, address);
 
--- a/src/transport/groupPeers.ts
+++ b/src/transport/groupPeers.ts
@@ -12,6 +12,7 @@
 import { type GroupContext, type GroupRouter, groupRouter } from "../protocol/groupRouter.js";
 import { reasonOf } from "../state/errors.js";
 import type { HostRecord } from "../state/types.js";
+import { withBoundedBody } from "./boundedRequest.js";
 import type { NodeBindings } from "./httpServer.js";
 import { requireToken } from "./operatorRoutes.js";
 import { peerFetch } from "./peerFetch.js";
@@ -23,13 +24,14 @@
 /** Adds the procedures for agents of the group. A request without `peerToken` gets status 401. */
 export const addGroupRoutes = (application: Hono<NodeBindings>, context: GroupContext, peerToken: string): void => {
     application.use(`${groupEndpoint}/*`, requireToken(peerToken));
-    application.all(`${groupEndpoint}/*`, ({ req }) =>
-        fetchRequestHandler({
-            endpoint: groupEndpoint,
-            req: req.raw,
-            router: groupRouter,
-            createContext: () => context,
-        }));
+    application.all(`${groupEndpoint}/*`, route =>
+        withBoundedBody(route, req =>
+            fetchRequestHandler({
+                endpoint: groupEndpoint,
+                req,
+                router: groupRouter,
+                createContext: () => context,
+            })));
 };
 
 export type GroupPeers = RankPeers & {
--- a/src/transport/ingress/peerServer.ts
+++ b/src/transport/ingress/peerServer.ts
@@ -8,6 +8,7 @@
 import type { UpstreamLimits } from "../../coordination/ingress/upstreamLimits.js";
 import { recordRelayEndpoint, recordRelayRouter } from "../../protocol/recordRelayRouter.js";
 import { requestPermitEndpoint, requestPermitRouter } from "../../protocol/requestPermitRouter.js";
+import { withBoundedBody } from "../boundedRequest.js";
 import { type Listener, listenLazily, type NodeBindings } from "../httpServer.js";
 
 export type PeerServices = { records: RecordSource; upstreamLimits: Pick<UpstreamLimits, "answer">; };
@@ -48,13 +49,14 @@
             closing.signal.removeEventListener("abort", stop);
             return response;
         });
-        application.all(`${requestPermitEndpoint}/*`, ({ req }) =>
-            fetchRequestHandler({
-                endpoint: requestPermitEndpoint,
-                req: req.raw,
-                router: requestPermitRouter,
-                createContext: () => ({ answer: upstreamLimits.answer }),
-            }));
+        application.all(`${requestPermitEndpoint}/*`, route =>
+            withBoundedBody(route, req =>
+                fetchRequestHandler({
+                    endpoint: requestPermitEndpoint,
+                    req,
+                    router: requestPermitRouter,
+                    createContext: () => ({ answer: upstreamLimits.answer }),
+                })));
         return application;
     };
     const listener = await listenLazily(loadApplication, address);
--- a/tests/ingress/endlessPeers.test.ts
+++ b/tests/ingress/endlessPeers.test.ts
@@ -7,7 +7,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { type EndlessPeer, rankNodeOptions, readWithoutEnd, startEndlessPeer } from "../support/endlessPeer.js";
-import { killAllPrograms, startProgram } from "../support/processes.js";
+import { killAllPrograms, startNode, startProgram } from "../support/processes.js";
 import { answer, startScriptedServer } from "../support/scriptedServer.js";
 import { callSlowly, freePort, startEntryProcess } from "../support/slowCaller.js";
 
@@ -102,6 +102,48 @@
         expect(peakMegabytes, entry.program.output()).to.be.lessThan(entryMegabytes);
     });
 
+    for (const path of ["/maps/prepare"]) {
+        it(`leave a rank agent alive while agents send it requests without end (${path})`, async () => {
+            const folder = await mkdtemp(join(tmpdir(), "rank-"));
+            const [metrics, gossip] = await Promise.all([freePort(), freePort()]);
+            const file = join(folder, "rank.jsonc");
+            await writeFile(
+                file,
+                JSON.stringify({
+                    host: "rank-1",
+                    availabilityZone: "medina",
+                    ip: "127.0.0.1",
+                    internalPorts: [gossip, gossip],
+                    metrics: `127.0.0.1:${metrics}`,
+                    store: { address: "127.0.0.1:9" },
+                    engine: "127.0.0.1:9",
+                    service: "model",
+                }),
+            );
+            const rank = startProgram("rank", ["--config", file], rankNodeOptions);
+            await rank.waitForEvent("started");
+            const parameters = [`127.0.0.1:${gossip}`, path, String(readsAtOnce)];
+            const callers = startNode("callers", ["dist/tests/support/endlessCallerProgram.js", ...parameters], {
+                env: process.env,
+            });
+            let haveEnded = false;
+            const ended = callers.waitForEvent("all ended").finally(() => {
+                haveEnded = true;
+            });
+            let slowestMilliseconds = 0;
+            while (!haveEnded) {
+                const askedAt = performance.now();
+                expect((await fetch(`http://127.0.0.1:${metrics}/metrics`)).status).to.equal(200);
+                slowestMilliseconds = Math.max(slowestMilliseconds, performance.now() - askedAt);
+            }
+            await ended;
+            const peakMegabytes = rank.peakMegabytes();
+            await rm(folder, { recursive: true });
+            expect(slowestMilliseconds).to.be.lessThan(answerLimitMilliseconds);
+            expect(peakMegabytes, rank.output()).to.be.lessThan(rankMegabytes);
+        });
+    }
+
     it("leave a rank agent alive while its engine sends every form", async () => {
         const folder = await mkdtemp(join(tmpdir(), "rank-"));
         const engine = await startEndlessPeer();
