Let fast sound reads share the whole allowance, and small ones keep their bytes

By the rule a read that had spent the shared allowance went on at its own pace alone, though the allowance was refilled meanwhile: a stream of 20,000 events at once took 7.0 s on a stepped clock, above the 6 s that its route gives. A stream of over 16 MB was ended although its bytes aren't kept, and once a few large reads had spent the budget of kept bytes, a small sound answer was ended for it.

A read that draws more than its own allowance now owes the rest where it is there sooner, itself or the process, so that one fast read gets all of it and many get their share. Streams have no largest size, and each read may keep 32 KB beside the budget. Buffers that wait for the rest of an event or for a caller draw on the same budget.

--- a/src/coordination/peerReads.ts
+++ b/src/coordination/peerReads.ts
@@ -3,7 +3,8 @@
  *
  * A peer may send bytes without end, well-formed or not. Each read has a largest size by its kind, and a pace: what a
  * sound peer sends passes at once, and what comes faster draws on one allowance of the whole process. When that is spent,
- * fast reads go on at their own pace. Bytes that are kept until a read is complete share one budget too.
+ * fast reads wait for their share of it or go on at their own pace, whichever is sooner. Bytes that are kept, until a read
+ * is complete or until a caller has read them, share one budget too.
  */
 import type { Clock } from "../state/types.js";
 
@@ -31,7 +32,18 @@
     close: () => void;
 };
 
-export type PeerReads = { open: (kind: PeerReadKind) => PeerRead; };
+/** Bytes that wait for the rest of an event, or for a caller to read them. */
+export type PeerBuffer = {
+    /** States how many bytes wait now. */
+    resize: (bytes: number) => ReadVerdict;
+    /** Releases them. */
+    close: () => void;
+};
+
+export type PeerReads = {
+    open: (kind: PeerReadKind) => PeerRead;
+    openBuffer: () => PeerBuffer;
+};
 
 type ReadLimits = {
     maximumBytes: number;
@@ -41,25 +53,28 @@
 };
 
 /**
- * Own allowances are over twice what sound peers of the deployments in use need: streams send 30 events a second, other
- * answers have some kilobytes, and the store's and other entries' responses some hundred.
+ * Own allowances are over twice what sound peers of the deployments in use need: streams send 30 events a second in five
+ * lines each, other answers have some kilobytes, and the store's and other entries' responses some hundred. The bytes of a
+ * stream aren't kept, so its time limit bounds it. Of servers, 60 may send as much as their burst at the same moment.
  */
 const limitsOf: Record<PeerReadKind, ReadLimits> = {
-    "answer": { maximumBytes: 16_777_216, ownCostPerSecond: 98_304, ownBurst: 262_144 },
-    "stream": { maximumBytes: 16_777_216, ownCostPerSecond: 98_304, ownBurst: 262_144 },
+    "answer": { maximumBytes: 16_777_216, ownCostPerSecond: 196_608, ownBurst: 65_536 },
+    "stream": { maximumBytes: Infinity, ownCostPerSecond: 196_608, ownBurst: 65_536 },
     "store": { maximumBytes: 16_777_216, ownCostPerSecond: 4_194_304, ownBurst: 4_194_304 },
     "entry": { maximumBytes: 16_777_216, ownCostPerSecond: 1_048_576, ownBurst: 2_097_152 },
     "report": { maximumBytes: 1_048_576, ownCostPerSecond: 98_304, ownBurst: 262_144 },
 };
 /** A server may send some, such as early hints; more serve no purpose. */
 const maximumInterims = 32;
-/** What all reads of a process may keep at once; a process has 202 MB or more. */
+/** What all reads of a process may keep at once beside their own bytes; a process has 202 MB or more. */
 const maximumKeptBytes = 50_331_648;
-/** Processor time of a piece beside its bytes: decoding an event takes as long as copying about this many. */
-const pieceCost = 1_024;
-/** Some 8,000 events a second, about a tenth of a core, so that other requests go on in time. */
+/** Kept by any read or buffer without drawing on that budget, so that a few large ones don't end small ones. */
+const ownKeptBytes = 32_768;
+/** Processor time of a piece beside its bytes: decoding a line of an event takes as long as copying about this many. */
+const pieceCost = 512;
+/** Some 8,000 events of two lines a second, about a tenth of a core, so that other requests go on in time. */
 const sharedCostPerSecond = 8_388_608;
-const sharedBurst = 4_194_304;
+const sharedBurst = 1_048_576;
 const minimumWaitMilliseconds = 5;
 const millisecondsPerSecond = 1_000;
 
@@ -67,6 +82,7 @@
 const createBucket = (clock: Pick<Clock, "now">, perSecond: number, burst: number) => {
     let level = burst;
     let filledAt = clock.now();
+    const waitFor = (cost: number): number => (cost - level) * millisecondsPerSecond / perSecond;
     return {
         /** Takes what is there, up to `cost`; returns the rest. */
         take: (cost: number): number => {
@@ -77,57 +93,79 @@
             level -= taken;
             return cost - taken;
         },
+        /** Milliseconds until `cost` is there. */
+        waitFor,
         /** Takes `cost` though it isn't there; returns the milliseconds until it is. */
         owe: (cost: number): number => {
+            const milliseconds = waitFor(cost);
             level -= cost;
-            return -level * millisecondsPerSecond / perSecond;
+            return milliseconds;
         },
     };
 };
 
+const goOn: ReadVerdict = { kind: "go-on", afterMilliseconds: 0 };
+
 /** Creates the reads of one process, which share its allowance and its budget. */
 export const createPeerReads = (clock: Pick<Clock, "now">): PeerReads => {
     const shared = createBucket(clock, sharedCostPerSecond, sharedBurst);
     let keptBytes = 0;
-    return {
-        open: kind => {
-            const { maximumBytes, ownCostPerSecond, ownBurst } = limitsOf[kind];
-            const own = createBucket(clock, ownCostPerSecond, ownBurst);
-            let bytesRead = 0;
-            let bytesKept = 0;
-            let interims = 0;
-            const take = (bytes: number, pieces: number): ReadVerdict => {
-                bytesRead += bytes;
-                if (bytesRead > maximumBytes) {
-                    return { kind: "end", reason: `more than ${maximumBytes} bytes` };
-                }
-                const cost = bytes + pieces * pieceCost;
-                const rest = shared.take(own.take(cost));
-                return {
-                    kind: "go-on",
-                    afterMilliseconds: rest === 0 ? 0 : Math.max(minimumWaitMilliseconds, own.owe(rest)),
-                };
-            };
-            return {
-                take,
-                keep: (bytes, pieces) => {
-                    bytesKept += bytes;
-                    keptBytes += bytes;
-                    return keptBytes > maximumKeptBytes
-                        ? { kind: "end", reason: `all reads keep more than ${maximumKeptBytes} bytes` }
-                        : take(bytes, pieces);
-                },
-                takeInterim: () => {
-                    interims += 1;
-                    return interims > maximumInterims
-                        ? { kind: "end", reason: `more than ${maximumInterims} interim responses` }
-                        : { kind: "go-on", afterMilliseconds: 0 };
-                },
-                close: () => {
-                    keptBytes -= bytesKept;
-                    bytesKept = 0;
-                },
-            };
-        },
+
+    const openBuffer = (): PeerBuffer => {
+        let drawnBytes = 0;
+        const draw = (bytes: number): void => {
+            keptBytes += bytes - drawnBytes;
+            drawnBytes = bytes;
+        };
+        return {
+            resize: bytes => {
+                draw(Math.max(0, bytes - ownKeptBytes));
+                return drawnBytes > 0 && keptBytes > maximumKeptBytes
+                    ? { kind: "end", reason: `all reads keep more than ${maximumKeptBytes} bytes` }
+                    : goOn;
+            },
+            close: () => draw(0),
+        };
     };
+
+    const open = (kind: PeerReadKind): PeerRead => {
+        const { maximumBytes, ownCostPerSecond, ownBurst } = limitsOf[kind];
+        const own = createBucket(clock, ownCostPerSecond, ownBurst);
+        const buffer = openBuffer();
+        let bytesRead = 0;
+        let bytesKept = 0;
+        let interims = 0;
+        const take = (bytes: number, pieces: number): ReadVerdict => {
+            bytesRead += bytes;
+            if (bytesRead > maximumBytes) {
+                return { kind: "end", reason: `more than ${maximumBytes} bytes` };
+            }
+            const rest = shared.take(own.take(bytes + pieces * pieceCost));
+            if (rest === 0) {
+                return goOn;
+            }
+            const sooner = own.waitFor(rest) < shared.waitFor(rest) ? own : shared;
+            return { kind: "go-on", afterMilliseconds: Math.max(minimumWaitMilliseconds, sooner.owe(rest)) };
+        };
+        return {
+            take,
+            keep: (bytes, pieces) => {
+                bytesKept += bytes;
+                const kept = buffer.resize(bytesKept);
+                return kept.kind === "end" ? kept : take(bytes, pieces);
+            },
+            takeInterim: () => {
+                interims += 1;
+                return interims > maximumInterims
+                    ? { kind: "end", reason: `more than ${maximumInterims} interim responses` }
+                    : goOn;
+            },
+            close: () => {
+                bytesKept = 0;
+                buffer.close();
+            },
+        };
+    };
+
+    return { open, openBuffer };
 };
