Read servers no faster than the rule of peer reads says

Servers that sent small events, comments or 1-byte chunks without end filled an entry's heap in 4 to 5 s and ended it, with every request. With interim responses and with an event in small parts without end, the callers of sound servers were not answered within 20 s. Measured on a process as deployed, 16 faulty servers of 20 and 60 answers at once (load 3 on 8 cores).

Causes: the connection was read as fast as it sent, the parts of a body piled up where its reader was slower, a stream was read on while its caller read nothing, interim responses weren't counted, and each part of a large event copied and searched all of it.

Each connection to a server now passes a meter before its bytes are decoded (meteredSocket.ts). It counts bytes and lines by the one rule and passes on 32 lines at a time, so heads, interim responses, chunk framing, trailers, bodies and events are bounded alike; a line costs 2.3 to 3.2 microseconds measured over five forms. What is read ahead of a stream's reader or caller is bounded, plain answers and unfinished events share one budget with what callers leave unread, and the splitter searches new bytes only. The two limits of the body reader went into the rule. Ended reads have the end "oversized", a log line and a metric.

--- a/src/coordination/ingress/eventSplitter.ts
+++ b/src/coordination/ingress/eventSplitter.ts
@@ -77,18 +77,46 @@
     return behindCarriageReturn < 0 ? behindLineFeed : behindCarriageReturn + emptyLine.length;
 };
 
+/** The longest end of an event that may begin in one part and end in the next. */
+const longestEndBytes = 3;
+
 export const createEventSplitter = (): EventSplitter => {
     let buffered: Buffer = Buffer.alloc(0);
+    /** Holds `buffered` from `offset` on if that came in several parts. */
+    let storage = buffered;
+    let offset = 0;
+
+    /** Grows in proportion, so that an event in many parts is copied a constant number of times. */
+    const append = (chunk: Buffer): void => {
+        const length = buffered.length + chunk.length;
+        if (offset + length > storage.length) {
+            storage = Buffer.allocUnsafeSlow(length + (length >> 1));
+            buffered.copy(storage);
+            offset = 0;
+        }
+        chunk.copy(storage, offset + buffered.length);
+        buffered = storage.subarray(offset, offset + length);
+    };
+
     return {
         push: chunk => {
-            buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
+            const searchFrom = Math.max(0, buffered.length - longestEndBytes);
+            if (buffered.length === 0) {
+                buffered = chunk;
+                storage = buffered.subarray(0, 0);
+                offset = 0;
+            }
+            else {
+                append(chunk);
+            }
             const events: StreamEvent[] = [];
             let start = 0;
-            for (let end = findEventEnd(buffered, 0); end >= 0; end = findEventEnd(buffered, start)) {
+            for (let end = findEventEnd(buffered, searchFrom); end >= 0; end = findEventEnd(buffered, start)) {
                 events.push(toEvent(buffered.subarray(start, end), eventPattern));
                 start = end;
             }
             buffered = buffered.subarray(start);
+            offset += start;
             return events;
         },
         pendingBytes: () => buffered.length,
--- a/src/coordination/ingress/streamTask.ts
+++ b/src/coordination/ingress/streamTask.ts
@@ -25,10 +25,10 @@
 import type { StreamReservation, StreamScheduler } from "./streamScheduler.js";
 import {
     type AttemptTimeouts,
-    createBodyReader,
     type FailedAttempt,
     findResponseFault,
     isUpstreamAbsent,
+    readFullBody,
     type UpstreamResponse,
 } from "./upstreamAttempt.js";
 
@@ -50,7 +50,6 @@
     const { clock, log, metrics, health, retryBudget, crashObserver, crashEvidence, upstreamLimits, requestCosts } =
         dependencies;
 
-    const readFullBody = createBodyReader();
     const moveWhenSilent = createSilentStreamMove(scheduler, dependencies);
 
     const relay = async (
@@ -109,9 +108,12 @@
             pace.endChunk();
             held?.add(splitter.pendingBytes() - heldPendingBytes);
             heldPendingBytes = splitter.pendingBytes();
-            if (heldPendingBytes > maximumEventBytes) {
+            const kept = response.keepPending?.(heldPendingBytes);
+            if (heldPendingBytes > maximumEventBytes || kept?.kind === "end") {
+                const reason = kept?.kind === "end" ? kept.reason : `an event exceeds ${maximumEventBytes} bytes`;
+                const ending = { ...response.ending(), end: "oversized" as const, pendingBytes: heldPendingBytes };
                 response.close();
-                return { kind: "broken", reason: `an event exceeds ${maximumEventBytes} bytes` };
+                return { kind: "broken", reason, ending };
             }
             if (heldPendingBytes > 0 && held?.fits(0) === false) {
                 response.close();
--- a/src/coordination/ingress/unaryTask.ts
+++ b/src/coordination/ingress/unaryTask.ts
@@ -22,11 +22,10 @@
 import type { UnaryReservation, UnaryScheduler } from "./unaryScheduler.js";
 import {
     type AttemptTimeouts,
-    type BodyReader,
-    createBodyReader,
     type FailedAttempt,
     findResponseFault,
     isUpstreamAbsent,
+    readFullBody,
     type UpstreamResponse,
 } from "./upstreamAttempt.js";
 
@@ -50,7 +49,6 @@
 const classifyResponse = async (
     response: UpstreamResponse,
     { envelope: { requestId }, held }: RequestContext,
-    readFullBody: BodyReader,
 ): Promise<AttemptResult> => {
     const fault = findResponseFault(response, requestId);
     if (fault !== undefined) {
@@ -59,9 +57,10 @@
     }
     const body = await readFullBody(response, held);
     if (body === undefined) {
+        const ending = response.ending();
         return held?.wasExceeded() === true
             ? { kind: "broken", reason: "the response exceeds the memory left for answers", isOwnDoing: true }
-            : { kind: "broken", reason: "the response was cut off", ending: response.ending() };
+            : { kind: "broken", reason: ending.exceeded ?? "the response was cut off", ending };
     }
     return { kind: response.status >= serverErrorStatus ? "failed" : "final", response, body };
 };
@@ -84,8 +83,6 @@
         random,
     } = dependencies;
 
-    const readFullBody = createBodyReader();
-
     const attempt = async (context: RequestContext, upstream: KnownUpstream): Promise<AttemptResult> => {
         const {
             route,
@@ -115,7 +112,7 @@
         const responseOrFailure = await send(upstream, metadata, timeouts, signal);
         return responseOrFailure.isErr()
             ? responseOrFailure.error
-            : classifyResponse(responseOrFailure.value, context, readFullBody);
+            : classifyResponse(responseOrFailure.value, context);
     };
 
     const deliver = (
--- a/src/coordination/ingress/upstreamAttempt.ts
+++ b/src/coordination/ingress/upstreamAttempt.ts
@@ -7,6 +7,7 @@
  */
 import type { Result } from "neverthrow";
 import type { Upstream } from "../../state/ingressTypes.js";
+import type { ReadVerdict } from "../peerReads.js";
 import type { HeldBytes } from "./bufferBudget.js";
 import type { ResponseMetadata, UpstreamRequestMetadata } from "./headerAdapter.js";
 
@@ -35,12 +36,19 @@
 
 /**
  * What ended a body. `marked`: the end that its framing states; `closed`: the upstream closed the connection; `reset`: the
- * connection failed; `silent`: no data for too long; `invalid`: bytes that are no HTTP; `abandoned`: this entry closed it.
+ * connection failed; `silent`: no data for too long; `invalid`: bytes that are no HTTP; `oversized`: more than is read of
+ * a server; `abandoned`: this entry closed it.
  */
-export type BodyEnd = "marked" | "closed" | "reset" | "silent" | "invalid" | "abandoned";
+export type BodyEnd = "marked" | "closed" | "reset" | "silent" | "invalid" | "oversized" | "abandoned";
 
 /** `end` is undefined until the body has ended. */
-export type BodyEnding = { framing: BodyFraming; end: BodyEnd | undefined; bodyBytes: number; };
+export type BodyEnding = {
+    framing: BodyFraming;
+    end: BodyEnd | undefined;
+    bodyBytes: number;
+    /** The bound for which an oversized body was ended. */
+    exceeded?: string;
+};
 
 /** Whether the body arrived completely. */
 export const isWholeBody = ({ framing, end }: BodyEnding): boolean => end === "marked" && framing !== "other-coding";
@@ -54,6 +62,8 @@
     body: AsyncIterable<Buffer>;
     /** How the body ended. */
     ending: () => BodyEnding;
+    /** States how many bytes wait for the rest of an event; absent if these aren't bounded. */
+    keepPending?: (bytes: number) => ReadVerdict;
     /** Ends the attempt and closes its connection. */
     close: () => void;
 };
@@ -88,41 +98,37 @@
 export const isUpstreamAbsent = ({ kind }: FailedAttempt): boolean => kind === "unreachable" || kind === "misdirected";
 
 /**
- * Reads complete bodies, and adds their bytes to `held`; undefined if a response was cut off, is too long or exceeds the
- * budget of `held`.
+ * Reads complete bodies, and adds their bytes to `held`; undefined if a response was cut off or exceeds the budget of
+ * `held`.
  */
 export type BodyReader = (response: UpstreamResponse, held?: HeldBytes) => Promise<Buffer[] | undefined>;
 
-const maximumBodyBytes = 16_777_216;
-/** Bounds the memory of an entry whose upstreams send bytes without end. */
-const maximumBodyBytesAtOnce = 50_331_648;
+/** Parts that are joined into one, as each takes some hundred bytes beside its own. */
+const joinedParts = 256;
 
-/** Creates a reader that bounds the bytes of each body, and those of all bodies that are being read at once. */
-export const createBodyReader = (): BodyReader => {
-    let bytesAtOnce = 0;
-    return async (response, held) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
-        let counted = 0;
-        for await (const chunk of response.body) {
-            length += chunk.length;
-            bytesAtOnce += chunk.length;
-            const exceedsBudget = held?.fits(chunk.length) === false;
-            if (length > maximumBodyBytes || bytesAtOnce > maximumBodyBytesAtOnce || exceedsBudget) {
-                response.close();
-                break;
-            }
-            held?.add(chunk.length);
-            counted += chunk.length;
-            chunks.push(chunk);
+/** The bytes of a body are bounded where they are read from the connection. */
+export const readFullBody: BodyReader = async (response, held) => {
+    const whole: Buffer[] = [];
+    let parts: Buffer[] = [];
+    let counted = 0;
+    for await (const part of response.body) {
+        if (held?.fits(part.length) === false) {
+            response.close();
+            break;
         }
-        bytesAtOnce -= length;
-        if (isWholeBody(response.ending())) {
-            return chunks;
+        held?.add(part.length);
+        counted += part.length;
+        parts.push(part);
+        if (parts.length === joinedParts) {
+            whole.push(Buffer.concat(parts));
+            parts = [];
         }
-        held?.add(-counted);
-        return undefined;
-    };
+    }
+    if (isWholeBody(response.ending())) {
+        return [...whole, ...parts];
+    }
+    held?.add(-counted);
+    return undefined;
 };
 
 /** Sends the caller's request to `upstream` and resolves once the response headers have arrived. */
--- a/src/coordination/peerReads.ts
+++ b/src/coordination/peerReads.ts
@@ -50,30 +50,60 @@
     /** What a read may cost a second without drawing on the shared allowance, and at once. */
     ownCostPerSecond: number;
     ownBurst: number;
+    /** For how long it may be left unread in all for its pace. */
+    maximumWaitMilliseconds: number;
 };
 
 /**
  * Own allowances are over twice what sound peers of the deployments in use need: streams send 30 events a second in five
  * lines each, other answers have some kilobytes, and the store's and other entries' responses some hundred. The bytes of a
- * stream aren't kept, so its time limit bounds it. Of servers, 60 may send as much as their burst at the same moment.
+ * stream aren't kept, so its time limit bounds it. A whole answer that is too large for its pace is ended while another
+ * server may still answer in time; the largest takes 0.45 s while no other read is fast. Of servers, 60 may send as much as their burst at the same moment.
  */
 const limitsOf: Record<PeerReadKind, ReadLimits> = {
-    "answer": { maximumBytes: 16_777_216, ownCostPerSecond: 196_608, ownBurst: 65_536 },
-    "stream": { maximumBytes: Infinity, ownCostPerSecond: 196_608, ownBurst: 65_536 },
-    "store": { maximumBytes: 16_777_216, ownCostPerSecond: 4_194_304, ownBurst: 4_194_304 },
-    "entry": { maximumBytes: 16_777_216, ownCostPerSecond: 1_048_576, ownBurst: 2_097_152 },
-    "report": { maximumBytes: 1_048_576, ownCostPerSecond: 98_304, ownBurst: 262_144 },
+    "answer": { maximumBytes: 16_777_216, ownCostPerSecond: 147_456, ownBurst: 32_768, maximumWaitMilliseconds: 500 },
+    "stream": {
+        maximumBytes: Infinity,
+        ownCostPerSecond: 147_456,
+        ownBurst: 32_768,
+        maximumWaitMilliseconds: Infinity,
+    },
+    "store": {
+        maximumBytes: 16_777_216,
+        ownCostPerSecond: 4_194_304,
+        ownBurst: 4_194_304,
+        maximumWaitMilliseconds: Infinity,
+    },
+    "entry": {
+        maximumBytes: 16_777_216,
+        ownCostPerSecond: 1_048_576,
+        ownBurst: 2_097_152,
+        maximumWaitMilliseconds: Infinity,
+    },
+    "report": {
+        maximumBytes: 1_048_576,
+        ownCostPerSecond: 98_304,
+        ownBurst: 262_144,
+        maximumWaitMilliseconds: Infinity,
+    },
 };
 /** A server may send some, such as early hints; more serve no purpose. */
 const maximumInterims = 32;
-/** What all reads of a process may keep at once beside their own bytes; a process has 202 MB or more. */
-const maximumKeptBytes = 50_331_648;
+/**
+ * What all reads of a process keep at once beside their own bytes, of which each has its share; a process has 202 MB or
+ * more. Reads that keep less than their share go on, so the sum may come to twice as much.
+ */
+const maximumKeptBytes = 16_777_216;
 /** Kept by any read or buffer without drawing on that budget, so that a few large ones don't end small ones. */
 const ownKeptBytes = 32_768;
-/** Processor time of a piece beside its bytes: decoding a line of an event takes as long as copying about this many. */
-const pieceCost = 512;
-/** Some 8,000 events of two lines a second, about a tenth of a core, so that other requests go on in time. */
-const sharedCostPerSecond = 8_388_608;
+/** Processor time of a piece beside its bytes: a line of an event or of chunk framing takes 2.3 to 3.2 microseconds. */
+const pieceCost = 384;
+/**
+ * Some 98,000 lines a second, about a quarter of a core, so that other requests go on in time. At half of it, servers that
+ * cut off an answer which they can't send for 0.5 s did so to fast sound streams.
+ */
+const sharedCostPerSecond = 37_748_736;
+/** 2,700 lines, some 7 ms. */
 const sharedBurst = 1_048_576;
 const minimumWaitMilliseconds = 5;
 const millisecondsPerSecond = 1_000;
@@ -110,17 +140,20 @@
 export const createPeerReads = (clock: Pick<Clock, "now">): PeerReads => {
     const shared = createBucket(clock, sharedCostPerSecond, sharedBurst);
     let keptBytes = 0;
+    /** Reads and buffers that draw on the budget. */
+    let keepers = 0;
 
     const openBuffer = (): PeerBuffer => {
         let drawnBytes = 0;
         const draw = (bytes: number): void => {
             keptBytes += bytes - drawnBytes;
+            keepers += Number(bytes > 0) - Number(drawnBytes > 0);
             drawnBytes = bytes;
         };
         return {
             resize: bytes => {
                 draw(Math.max(0, bytes - ownKeptBytes));
-                return drawnBytes > 0 && keptBytes > maximumKeptBytes
+                return keptBytes > maximumKeptBytes && drawnBytes * keepers >= maximumKeptBytes
                     ? { kind: "end", reason: `all reads keep more than ${maximumKeptBytes} bytes` }
                     : goOn;
             },
@@ -129,12 +162,13 @@
     };
 
     const open = (kind: PeerReadKind): PeerRead => {
-        const { maximumBytes, ownCostPerSecond, ownBurst } = limitsOf[kind];
+        const { maximumBytes, ownCostPerSecond, ownBurst, maximumWaitMilliseconds } = limitsOf[kind];
         const own = createBucket(clock, ownCostPerSecond, ownBurst);
         const buffer = openBuffer();
         let bytesRead = 0;
         let bytesKept = 0;
         let interims = 0;
+        let waitMilliseconds = 0;
         const take = (bytes: number, pieces: number): ReadVerdict => {
             bytesRead += bytes;
             if (bytesRead > maximumBytes) {
@@ -145,7 +179,11 @@
                 return goOn;
             }
             const sooner = own.waitFor(rest) < shared.waitFor(rest) ? own : shared;
-            return { kind: "go-on", afterMilliseconds: Math.max(minimumWaitMilliseconds, sooner.owe(rest)) };
+            const afterMilliseconds = Math.max(minimumWaitMilliseconds, sooner.owe(rest));
+            waitMilliseconds += afterMilliseconds;
+            return waitMilliseconds > maximumWaitMilliseconds
+                ? { kind: "end", reason: `${bytesRead} bytes at once, too many to read in time` }
+                : { kind: "go-on", afterMilliseconds };
         };
         return {
             take,
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -9,6 +9,7 @@
 import { type HeldBytes, requestOverheadBytes } from "../../coordination/ingress/bufferBudget.js";
 import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
 import type { ResponseSink } from "../../coordination/ingress/requestContext.js";
+import type { PeerBuffer, PeerReads } from "../../coordination/peerReads.js";
 import { errorBody } from "../../protocol/callerProtocol.js";
 import { type Refusal, refusal } from "../../state/errors.js";
 import type { CallerLimits } from "../../state/ingressTypes.js";
@@ -16,7 +17,7 @@
 import { disconnectSignal, sendClientError } from "../httpServer.js";
 import type { Buffering } from "./buffering.js";
 import { createCallerConnections } from "./callerConnections.js";
-import { paceSink } from "./pacedSink.js";
+import { paceSink, windowBytes } from "./pacedSink.js";
 import { openRequestBuffers, type RequestBuffers } from "./requestBuffers.js";
 
 export type CallerRequest = {
@@ -90,14 +91,31 @@
     return length > limit || isDropped ? undefined : Buffer.concat(chunks);
 };
 
+/** Resolves when the caller has read what was written, and also when it is gone or `signal` aborts. */
+const whenDrained = (response: ServerResponse, signal: AbortSignal): Promise<void> =>
+    new Promise(resolve => {
+        const wake = (): void => {
+            response.removeListener("drain", wake);
+            response.removeListener("close", wake);
+            signal.removeEventListener("abort", wake);
+            resolve();
+        };
+        response.once("drain", wake);
+        response.once("close", wake);
+        signal.addEventListener("abort", wake, { once: true });
+    });
+
 const createResponseSink = (
     response: ServerResponse,
     requestIdHeader: string,
     requestId: string | undefined,
     beforeHead: () => void,
     mayEndConnection: () => boolean,
+    unread: PeerBuffer,
 ): ResponseSink => {
     let endsWithConnection = false;
+    response.on("drain", () => void unread.resize(response.writableLength));
+    response.once("close", unread.close);
     const refuse = (refused: Refusal): void => {
         beforeHead();
         const body = JSON.stringify(errorBody(refused));
@@ -131,10 +149,15 @@
         },
         write: bytes => {
             response.write(bytes);
-            if (response.writableLength > maximumUnreadBytes) {
+            const unreadBytes = response.writableLength;
+            if (unreadBytes > maximumUnreadBytes || unread.resize(unreadBytes).kind === "end") {
                 abort();
             }
         },
+        whenWritable: signal =>
+            response.writableLength < windowBytes || response.destroyed || signal.aborted
+                ? undefined
+                : whenDrained(response, signal),
         end: () => void response.end(),
         refuse,
         abort,
@@ -156,6 +179,8 @@
     onError: (error: Error) => void;
     /** Absent if what the entry holds isn't budgeted. */
     buffering: Omit<Buffering, "metricsText"> | undefined;
+    /** Accounts for what callers leave unread where it isn't budgeted. */
+    openBuffer: PeerReads["openBuffer"];
 };
 
 /** Starts the server; resolves once it accepts connections. */
@@ -170,6 +195,7 @@
         handle,
         onError,
         buffering,
+        openBuffer,
     } = options;
     let isDraining = false;
     let inProgress = 0;
@@ -197,6 +223,7 @@
             announceClose,
             // Answers to further requests on the connection would be lost with it.
             () => connections.hasOneRequest(message.socket),
+            openBuffer(),
         );
         const callerGone = disconnectSignal(response);
         const { bodyBytes } = limits() ?? defaultLimits;
--- a/src/transport/ingress/checkedSender.ts
+++ b/src/transport/ingress/checkedSender.ts
@@ -10,16 +10,22 @@
 import type { Clock } from "../../state/types.js";
 import { isPortClosed } from "./portCheck.js";
 import type { RequestBuffers } from "./requestBuffers.js";
+import type { UpstreamReads } from "./upstreamReads.js";
 import { createSender } from "./upstreamSender.js";
 
 export type CheckedSender = (message: IncomingMessage, body: Buffer, buffers?: RequestBuffers) => SendToUpstream;
 
 export const createCheckedSender = (
     headerAdapter: HeaderAdapter,
+    reads: UpstreamReads,
     notices: NoticeRecorders & { state: Pick<DeploymentState, "isLeaving">; },
     clock: Pick<Clock, "now">,
 ): CheckedSender => {
     const checks = { isPortClosed, isLeaving: notices.state.isLeaving };
     return (message, body, buffers) =>
-        withNotices(withCheckedEnds(createSender(headerAdapter, message, body, buffers), checks), notices, clock);
+        withNotices(
+            withCheckedEnds(createSender(headerAdapter, reads, message, body, buffers), checks),
+            notices,
+            clock,
+        );
 };
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -30,6 +30,7 @@
 import { createUpstreamPauses } from "../../coordination/ingress/upstreamPauses.js";
 import { createUrgencyShares } from "../../coordination/ingress/urgencyShares.js";
 import { createMetrics } from "../../coordination/metrics.js";
+import { createPeerReads } from "../../coordination/peerReads.js";
 import { createRetryBudget } from "../../coordination/retryBudget.js";
 import type { IngressConfig } from "../../protocol/ingressConfig.js";
 import { refusal } from "../../state/errors.js";
@@ -47,6 +48,7 @@
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
 import { createRelayedSource } from "./recordRelay.js";
 import { createUpstreamRateLimiter } from "./upstreamRateLimiter.js";
+import { createUpstreamReads } from "./upstreamReads.js";
 
 export type IngressDaemon = {
     /** Bound listener addresses as `ip:port`. */
@@ -74,6 +76,7 @@
     const clock = monotonicClock;
     const log = createIngressLog((event, fields) => logger.info(event, fields), clock);
     const metrics = createMetrics();
+    const upstreamReads = createUpstreamReads(createPeerReads(clock), { log, metrics });
     const state = createDeploymentState(clock, log);
     const health = createUpstreamHealth(clock, log);
     const pauses = createUpstreamPauses(clock, log);
@@ -93,7 +96,7 @@
         metrics,
     });
     const notices = { state, pauses, limits: upstreamLimits.stated };
-    const createSend = createCheckedSender(platform.headerAdapter, notices, clock);
+    const createSend = createCheckedSender(platform.headerAdapter, upstreamReads, notices, clock);
     const freshness = createTopicFreshness(clock, () => sharedRecords.storeTurn());
     const sharedRecords = createSharedRecords({
         host: config.host,
@@ -316,6 +319,7 @@
         handle,
         onError: error => logger.debug("connection failed", { reason: error.message }),
         buffering,
+        openBuffer: upstreamReads.openBuffer,
     });
     const isReady = (): boolean => {
         const isReadyNow = !plannedStop.hasBegun() && state.routeTable() !== undefined && crashEvidenceSync.isSettled()
--- a/src/transport/ingress/pacedSink.ts
+++ b/src/transport/ingress/pacedSink.ts
@@ -12,7 +12,7 @@
  * Bytes that may wait for a caller before its server is held back: over twenty times the largest event of the
  * deployments in use, and 13 MB with 400 callers that have stopped reading.
  */
-const windowBytes = 32_768;
+export const windowBytes = 32_768;
 /** Parts that were taken from the queue are dropped from this number on, once they are half of it. */
 const compactAfterParts = 64;
 /** Replaces a part that was taken, so that its bytes are released. */
--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -6,7 +6,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { type IncomingMessage, request as startRequest } from "node:http";
-import { connect, type Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { HeldBytes } from "../../coordination/ingress/bufferBudget.js";
 import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
 import type {
@@ -18,24 +18,28 @@
     UpstreamResponse,
 } from "../../coordination/ingress/upstreamAttempt.js";
 import { splitAddress } from "../address.js";
+import { connectMetered, type MeteredSocket } from "./meteredSocket.js";
 import type { RequestBuffers } from "./requestBuffers.js";
+import type { UpstreamReads } from "./upstreamReads.js";
 
 /** Ten round trips between zones; a lost packet exceeds it, so that another upstream is tried instead. */
 const connectTimeoutMilliseconds = 150;
 /** Bytes of an answer that are read ahead of its reader; a single read may bring more. */
 const readAheadBytes = 16_384;
+/** Parts read ahead; each takes some hundred bytes beside its own, so that many parts of one byte would add up. */
+const readAheadParts = 256;
 
-const openConnection = (address: string, signal: AbortSignal): Promise<Result<Socket, TransportFailure>> =>
+const waitForConnection = (
+    { connection, stream }: MeteredSocket,
+    signal: AbortSignal,
+): Promise<Result<Duplex, TransportFailure>> =>
     new Promise(resolve => {
-        const socket = connect({ ...splitAddress(address), noDelay: true });
-        const settle = (result: Result<Socket, TransportFailure>): void => {
+        const settle = (result: Result<Duplex, TransportFailure>): void => {
             clearTimeout(timer);
             signal.removeEventListener("abort", abortConnect);
-            socket.removeListener("error", failConnect);
+            connection.removeListener("error", failConnect);
             if (result.isErr()) {
-                // Later errors of an abandoned connection are irrelevant, but unhandled ones would end the process.
-                socket.on("error", () => undefined);
-                socket.destroy();
+                stream.destroy();
             }
             resolve(result);
         };
@@ -46,8 +50,8 @@
             connectTimeoutMilliseconds,
         );
         signal.addEventListener("abort", abortConnect);
-        socket.once("error", failConnect);
-        socket.once("connect", () => settle(ok(socket)));
+        connection.once("error", failConnect);
+        connection.once("connect", () => settle(ok(stream)));
     });
 
 const bodilessStatuses = new Set([204, 304]);
@@ -65,15 +69,16 @@
 };
 
 /**
- * Reads the body of a response, with a timeout between chunks. With an account, the connection is read only as fast as
- * the body, and the timeout is suspended while it isn't read.
+ * Reads the body of a response, with a timeout between chunks. The connection is read only as fast as the body, and the
+ * timeout is suspended while it isn't read. `onRead` is called when the body is read no further.
  */
 const readBody = (
     message: IncomingMessage,
     method: string | undefined,
-    socket: Socket,
+    socket: Duplex,
     idleMilliseconds: number,
     held: HeldBytes | undefined,
+    onRead: () => void,
 ) => {
     const framing = framingOf(message, method);
     let bodyBytes = 0;
@@ -103,7 +108,7 @@
     // Node reads on for a while after a pause.
     const removeGauge = held?.addGauge(() => message.readableLength);
     const pauseIfAhead = (): void => {
-        if (unreadBytes >= readAheadBytes) {
+        if (unreadBytes >= readAheadBytes || chunks.length >= readAheadParts) {
             isPaused = true;
             message.pause();
         }
@@ -126,18 +131,13 @@
     message.on("data", (chunk: Buffer) => {
         timer.refresh();
         bodyBytes += chunk.length;
-        if (held === undefined) {
-            chunks.push(chunk);
-        }
-        else {
-            // The reader of the body accounts for the part that it has taken, so it takes small parts.
-            for (let start = 0; start < chunk.length; start += readAheadBytes) {
-                chunks.push(chunk.subarray(start, start + readAheadBytes));
-            }
-            held.add(chunk.length);
-            unreadBytes += chunk.length;
-            pauseIfAhead();
+        // The reader of the body accounts for the part that it has taken, so it takes small parts.
+        for (let start = 0; start < chunk.length; start += readAheadBytes) {
+            chunks.push(chunk.subarray(start, start + readAheadBytes));
         }
+        held?.add(chunk.length);
+        unreadBytes += chunk.length;
+        pauseIfAhead();
         notifyReader();
     });
     message.once("error", () => endBody("closed"));
@@ -167,6 +167,7 @@
         }
         finally {
             held?.add(-unreadBytes);
+            onRead();
         }
     }
 
@@ -178,7 +179,7 @@
 };
 
 /** Adds the server at the other end of `socket` as the reader of the request's body; returns a function that ends it. */
-const watchBodyReader = ({ held, addReader }: RequestBuffers, socket: Socket, end: () => void): () => void => {
+const watchBodyReader = ({ held, addReader }: RequestBuffers, socket: Duplex, end: () => void): () => void => {
     const sentAt = performance.now();
     return addReader({
         kind: "server",
@@ -195,78 +196,139 @@
 /**
  * Creates the function that sends the caller's `request`, whose body has been read, with headers from `headerAdapter`.
  */
-export const createSender =
-    (headerAdapter: HeaderAdapter, request: IncomingMessage, body: Buffer, buffers?: RequestBuffers): SendToUpstream =>
-    async (upstream, metadata, timeouts, signal) => {
-        const opened = await openConnection(upstream.address, signal);
-        if (opened.isErr()) {
-            return err(opened.error);
+export const createSender = (
+    headerAdapter: HeaderAdapter,
+    reads: UpstreamReads,
+    request: IncomingMessage,
+    body: Buffer,
+    buffers?: RequestBuffers,
+): SendToUpstream =>
+async (upstream, metadata, timeouts, signal) => {
+    let read = reads.open("answer");
+    const pending = reads.openBuffer();
+    let exceeded: string | undefined;
+    let onExceeded = (): void => undefined;
+    const exceed = (reason: string): void => {
+        exceeded = `too much was sent: ${reason}`;
+        onExceeded();
+    };
+    const metered = connectMetered(splitAddress(upstream.address), read.keep, exceed);
+    let isFinished = false;
+    const finishRead = (): void => {
+        if (isFinished) {
+            return;
         }
-        const socket = opened.value;
-        return new Promise(resolve => {
-            const headers = headerAdapter.upstreamRequestHeaders(request, {
-                ...metadata,
+        isFinished = true;
+        read.close();
+        pending.close();
+        if (exceeded !== undefined || metered.slowedMilliseconds() > 0) {
+            reads.onFinished({
+                requestId: headerAdapter.readEnvelope(request).requestId,
                 upstreamId: upstream.id,
-                bodyBytes: body.length,
-            });
-            const outgoing = startRequest({
-                createConnection: () => socket,
-                method: request.method,
-                path: request.url,
-                // Node's client accepts a flat list of raw headers, which its types don't declare.
-                headers: headers as unknown as Record<string, string>,
-            });
-            let bodyReader: ReturnType<typeof readBody> | undefined;
-            const close = (): void => {
-                bodyReader?.fail("abandoned");
-                clearTimeout(timer);
-                signal.removeEventListener("abort", close);
-                stopWatching?.();
-                outgoing.destroy();
-                socket.destroy();
-            };
-            let isAnswered = false;
-            const failAttempt = (reason: string): void => {
-                // Once the response headers have arrived, the body reader reports failures.
-                if (!isAnswered) {
-                    close();
-                    resolve(err({ kind: "broken", reason }));
-                }
-            };
-            const timer = setTimeout(
-                () => failAttempt(`no response headers within ${Math.round(timeouts.headersMilliseconds)} ms`),
-                timeouts.headersMilliseconds,
-            );
-            signal.addEventListener("abort", close, { once: true });
-            outgoing.on("error", error => {
-                failAttempt(error.message);
-                bodyReader?.fail(
-                    (error as NodeJS.ErrnoException).code?.startsWith("HPE_") === true ? "invalid" : "reset",
-                );
+                readBytes: metered.bytesRead(),
+                slowedMilliseconds: metered.slowedMilliseconds(),
+                exceeded,
             });
-            outgoing.once("close", () => failAttempt("the connection was closed before a response"));
-            outgoing.once("response", message => {
+        }
+    };
+    const opened = await waitForConnection(metered, signal);
+    if (opened.isErr()) {
+        finishRead();
+        return err(opened.error);
+    }
+    const socket = opened.value;
+    return new Promise(resolve => {
+        const headers = headerAdapter.upstreamRequestHeaders(request, {
+            ...metadata,
+            upstreamId: upstream.id,
+            bodyBytes: body.length,
+        });
+        const outgoing = startRequest({
+            createConnection: () => socket,
+            method: request.method,
+            path: request.url,
+            // Node's client accepts a flat list of raw headers, which its types don't declare.
+            headers: headers as unknown as Record<string, string>,
+        });
+        let bodyReader: ReturnType<typeof readBody> | undefined;
+        const close = (): void => {
+            bodyReader?.fail("abandoned");
+            clearTimeout(timer);
+            signal.removeEventListener("abort", close);
+            stopWatching?.();
+            outgoing.destroy();
+            socket.destroy();
+            finishRead();
+        };
+        let isAnswered = false;
+        const failAttempt = (reason: string): void => {
+            // Once the response headers have arrived, the body reader reports failures.
+            if (!isAnswered) {
                 isAnswered = true;
-                clearTimeout(timer);
-                stopWatching?.();
-                bodyReader = readBody(message, request.method, socket, timeouts.idleMilliseconds, buffers?.held);
-                const response: UpstreamResponse = {
-                    status: message.statusCode ?? 0,
-                    metadata: headerAdapter.readResponseMetadata(message),
-                    headers: headerAdapter.callerResponseHeaders(
-                        message,
-                        message.headers["content-type"]?.startsWith("text/event-stream") === true,
-                    ),
-                    body: bodyReader.body,
-                    ending: bodyReader.ending,
-                    close,
-                };
-                socket.once("close", () => signal.removeEventListener("abort", close));
-                resolve(ok(response));
-            });
-            const stopWatching = buffers === undefined
-                ? undefined
-                : watchBodyReader(buffers, socket, () => failAttempt("the server did not read the request"));
-            outgoing.end(body);
+                close();
+                resolve(err({ kind: "broken", reason }));
+            }
+        };
+        onExceeded = () => {
+            bodyReader?.fail("oversized");
+            failAttempt(exceeded ?? "");
+        };
+        const timer = setTimeout(
+            () => failAttempt(`no response headers within ${Math.round(timeouts.headersMilliseconds)} ms`),
+            timeouts.headersMilliseconds,
+        );
+        signal.addEventListener("abort", close, { once: true });
+        outgoing.on("error", error => {
+            failAttempt(error.message);
+            bodyReader?.fail(
+                (error as NodeJS.ErrnoException).code?.startsWith("HPE_") === true ? "invalid" : "reset",
+            );
         });
-    };
+        outgoing.once("close", () => failAttempt("the connection was closed before a response"));
+        outgoing.on("information", () => {
+            const verdict = read.takeInterim();
+            if (verdict.kind === "end") {
+                exceed(verdict.reason);
+            }
+        });
+        outgoing.once("response", message => {
+            isAnswered = true;
+            clearTimeout(timer);
+            stopWatching?.();
+            const isEventStream = message.headers["content-type"]?.startsWith("text/event-stream") === true;
+            if (isEventStream) {
+                // Its events are passed on as they arrive, so its bytes aren't kept.
+                read.close();
+                read = reads.open("stream");
+                metered.count(read.take, true);
+            }
+            else {
+                metered.count(read.keep, framingOf(message, request.method) === "chunks");
+            }
+            const reader = readBody(
+                message,
+                request.method,
+                socket,
+                timeouts.idleMilliseconds,
+                buffers?.held,
+                finishRead,
+            );
+            bodyReader = reader;
+            const response: UpstreamResponse = {
+                status: message.statusCode ?? 0,
+                metadata: headerAdapter.readResponseMetadata(message),
+                headers: headerAdapter.callerResponseHeaders(message, isEventStream),
+                body: reader.body,
+                ending: () => ({ ...reader.ending(), ...(exceeded === undefined ? {} : { exceeded }) }),
+                keepPending: pending.resize,
+                close,
+            };
+            socket.once("close", () => signal.removeEventListener("abort", close));
+            resolve(ok(response));
+        });
+        const stopWatching = buffers === undefined
+            ? undefined
+            : watchBodyReader(buffers, socket, () => failAttempt("the server did not read the request"));
+        outgoing.end(body);
+    });
+};
--- a/tests/ingress/cutAnswers.test.ts
+++ b/tests/ingress/cutAnswers.test.ts
@@ -8,6 +8,7 @@
 import { headerNames } from "../../platform/names.js";
 import { platformHeaderAdapter } from "../../platform/requestHeaders.js";
 import { isWholeBody } from "../../src/coordination/ingress/upstreamAttempt.js";
+import { createPeerReads } from "../../src/coordination/peerReads.js";
 import { createSender } from "../../src/transport/ingress/upstreamSender.js";
 import { startPlatformDeployment } from "../support/platformDeployment.js";
 import { answer, head, startScriptedServer } from "../support/scriptedServer.js";
@@ -39,7 +40,8 @@
 /** Whether the entry takes the answer for whole. */
 const isTakenForWhole = async (address: string, requestId: string): Promise<boolean> => {
     const request = { method: "GET", url: "/", headers: {}, rawHeaders: [headerNames.requestId, requestId] };
-    const send = createSender(platformHeaderAdapter, request as unknown as IncomingMessage, Buffer.alloc(0));
+    const reads = { ...createPeerReads(performance), onFinished: () => undefined };
+    const send = createSender(platformHeaderAdapter, reads, request as unknown as IncomingMessage, Buffer.alloc(0));
     const metadata = { patienceMilliseconds: 1_000, clientAccount: undefined, lastEventId: undefined };
     const timeouts = { headersMilliseconds: 1_000, idleMilliseconds: 1_000 };
     const sent = await send(listedUpstream({ id: "i-0", address }), metadata, timeouts, new AbortController().signal);
--- a/tests/peerReads.test.ts
+++ b/tests/peerReads.test.ts
@@ -62,9 +62,9 @@
         const floods = Array.from({ length: 60 }, () => readUntil(reads.open("stream"), 96, 32, 10_000));
         await clock.advance(11_000);
         const lines = (await Promise.all(floods)).reduce((sum, count) => sum + count, 0);
-        const allowance = 8_388_608 * 10 + 1_048_576 + 60 * (196_608 * 10 + 65_536);
+        const allowance = 37_748_736 * 10 + 1_048_576 + 60 * (147_456 * 10 + 32_768);
         // Each read may take one slice more than it has.
-        expect(lines * (512 + 3)).to.be.at.most(allowance + 60 * 32 * (512 + 3));
+        expect(lines * (384 + 3)).to.be.at.most(allowance + 60 * 32 * (384 + 3));
     });
 
     it("give a fast sound stream of 20,000 events of three lines the whole allowance while nobody else wants it", async () => {
@@ -88,35 +88,66 @@
         expect(endedAt).to.be.lessThan(6_000);
     });
 
-    it("end a whole answer above 16 MB, and no stream for its size", () => {
+    it("end a whole answer above 16 MB, and no stream for its size", async () => {
         const answer = reads.open("answer");
-        expect(timesUntilEnd(() => answer.take(1_048_576, 0), 100)).to.equal(16);
+        const sizes: number[] = [];
+        for (let bytes = 16_384; bytes <= 33_554_432; bytes += 16_384) {
+            const verdict = answer.take(16_384, 0);
+            if (verdict.kind === "end") {
+                expect(verdict.reason).to.equal("more than 16777216 bytes");
+                break;
+            }
+            sizes.push(bytes);
+            await clock.advance(verdict.afterMilliseconds);
+        }
+        expect(sizes.at(-1)).to.equal(16_777_216);
         const stream = reads.open("stream");
         expect(timesUntilEnd(() => stream.take(1_048_576, 0), 100)).to.equal(100);
     });
 
     for (const kind of kinds) {
-        it(`(${kind}) keep no more than 52 MB in all, and release it with each read`, () => {
+        it(`(${kind}) keep no more than 34 MB in all, and release it with each read`, async () => {
             const open: PeerRead[] = [];
-            const keepOne = (): { kind: string; } => {
-                const read = reads.open(kind);
-                open.push(read);
-                return read.keep(1_000_000, 0);
+            const keepUntilEnd = async (): Promise<number> => {
+                for (let times = 0; times < 1_000; times += 1) {
+                    const read = reads.open(kind);
+                    open.push(read);
+                    if (read.keep(1_000_000, 0).kind === "end") {
+                        return times;
+                    }
+                    await clock.advance(1_000);
+                }
+                return Infinity;
             };
-            const times = timesUntilEnd(keepOne, 1_000);
-            expect(times).to.be.within(48, 52);
+            const times = await keepUntilEnd();
+            expect(times).to.be.within(16, 33);
             open.forEach(read => read.close());
-            expect(timesUntilEnd(keepOne, 1_000)).to.equal(times);
+            expect(await keepUntilEnd()).to.equal(times);
         });
     }
 
-    it("keep a small answer although others have spent the budget", () => {
-        const large = reads.openBuffer();
-        expect(large.resize(100_000_000).kind).to.equal("end");
-        expect(reads.open("answer").keep(20_000, 0).kind).to.equal("go-on");
-        expect(reads.open("answer").keep(200_000, 0).kind).to.equal("end");
-        large.close();
-        expect(reads.open("answer").keep(200_000, 0).kind).to.equal("go-on");
+    it("keep sound answers of 200 KB, and at most 34 MB in all, while 60 peers send without end", async () => {
+        const floods = Array.from({ length: 60 }, () => reads.open("store"));
+        const kept = floods.map(() => 0);
+        let most = 0;
+        for (let round = 0; round < 200; round += 1) {
+            floods.forEach((flood, index) => {
+                if (flood.keep(100_000, 0).kind === "end") {
+                    flood.close();
+                    floods[index] = reads.open("store");
+                    kept[index] = 0;
+                }
+                else {
+                    kept[index] = (kept[index] ?? 0) + 100_000;
+                }
+            });
+            most = Math.max(most, kept.reduce((sum, bytes) => sum + bytes, 0));
+            await clock.advance(1_000);
+            const sound = reads.open("answer");
+            expect(sound.keep(200_000, 0).kind).to.equal("go-on");
+            sound.close();
+        }
+        expect(most).to.be.within(16_000_000, 33_554_432);
     });
 
     it("count a buffer by what waits in it now", () => {
@@ -125,10 +156,23 @@
             expect(buffer.resize(1_000_000).kind).to.equal("go-on");
             expect(buffer.resize(0).kind).to.equal("go-on");
         }
-        buffer.resize(60_000_000);
+        expect(buffer.resize(60_000_000).kind).to.equal("end");
         buffer.close();
         buffer.close();
-        expect(reads.openBuffer().resize(50_000_000).kind).to.equal("go-on");
+        expect(reads.openBuffer().resize(16_000_000).kind).to.equal("go-on");
+    });
+
+    it("end 60 answers without end within 1 s, so that other servers can answer in time, and no stream", async () => {
+        const lastAt = async (kind: PeerReadKind): Promise<number> => {
+            const read = reads.open(kind);
+            await readUntil(read, 16_384, 0, 2_000);
+            return clock.now();
+        };
+        const answers = Array.from({ length: 60 }, () => lastAt("answer"));
+        const stream = lastAt("stream");
+        await clock.advance(3_000);
+        expect(Math.max(...await Promise.all(answers))).to.be.lessThan(1_000);
+        expect(await stream).to.be.at.least(2_000);
     });
 
     it("end a server after 32 interim responses", () => {
@@ -137,23 +181,26 @@
     });
 
     it("slow a fast read down to its own pace, not below it, beside 60 others", async () => {
-        const read = reads.open("answer");
+        const read = reads.open("stream");
         let bytes = 0;
         const play = async (): Promise<void> => {
             const endsAt = clock.now() + 5_000;
             while (clock.now() < endsAt) {
-                const verdict = read.take(4_096, 0);
-                bytes += 4_096;
+                const verdict = read.take(32_768, 0);
+                bytes += 32_768;
                 await clock.sleep(
                     verdict.kind === "go-on" ? verdict.afterMilliseconds : Infinity,
                     new AbortController().signal,
                 );
             }
         };
-        const others = Array.from({ length: 60 }, () => readUntil(reads.open("stream"), 4_096, 0, clock.now() + 5_000));
+        const others = Array.from(
+            { length: 60 },
+            () => readUntil(reads.open("stream"), 32_768, 0, clock.now() + 5_000),
+        );
         const played = play();
         await clock.advance(7_000);
         await Promise.all([played, ...others]);
-        expect(bytes).to.be.at.least(5 * 196_608 * 0.9);
+        expect(bytes).to.be.at.least(5 * 147_456 * 0.9);
     });
 });
--- a/tests/support/floodServer.ts
+++ b/tests/support/floodServer.ts
@@ -23,7 +23,7 @@
     /** Time between two events; as fast as the answer is read if 0. */
     eventMilliseconds?: number;
     cutAfterMilliseconds?: number;
-    onSend?: (event: number) => void;
+    onSend?: (event: number, requestId: string) => void;
     /** Leaves request bodies unread. */
     ignoresBodies?: boolean;
 };
@@ -64,7 +64,7 @@
         const send = async (): Promise<void> => {
             while (next <= events && !response.destroyed) {
                 const isAccepted = response.write(floodEvent(next, eventBytes));
-                options.onSend?.(next);
+                options.onSend?.(next, String(request.headers[headerNames.requestId]));
                 next += 1;
                 if (!isAccepted) {
                     const timer = setTimeout(() => {
--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -12,6 +12,7 @@
     /** Resolves with the first event, past or future, that matches; rejects if the process exits first. */
     waitForEvent: (matches: string | ((event: ProgramEvent) => boolean)) => Promise<ProgramEvent>;
     sendSignal: (name: NodeJS.Signals) => void;
+    pid: number;
     exited: Promise<number | undefined>;
     /** Sends SIGKILL and waits for the exit. */
     kill: () => Promise<void>;
@@ -74,6 +75,7 @@
             });
         },
         sendSignal: signalName => void child.kill(signalName),
+        pid: child.pid ?? 0,
         exited,
         kill: async () => {
             child.kill("SIGKILL");
--- a/tests/support/slowCaller.ts
+++ b/tests/support/slowCaller.ts
@@ -116,10 +116,15 @@
         goalMs: 10_000,
         timeoutMs: 20_000,
     };
+    /** For plain answers of the same servers. */
+    const plainFloodRoute = { ...routes[0], name: "flood-plain", pathPrefix: "/flood-plain/", service: "flood" };
     store.put(
         topics.operator,
         "config",
-        standardConfiguration(1, { routes: [...routes, floodRoute], services: [...services, { name: "flood" }] }),
+        standardConfiguration(1, {
+            routes: [...routes, floodRoute, plainFloodRoute],
+            services: [...services, { name: "flood" }],
+        }),
     );
     for (const { id, address, service } of servers) {
         store.put(topics.upstreams, id, {
