--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -34,7 +34,7 @@
 import type { IngressConfig } from "../../protocol/ingressConfig.js";
 import { refusal } from "../../state/errors.js";
 import type { Logger } from "../logger.js";
-import { peerReadMetricsText } from "../processReads.js";
+import { peerReadMetricsText, processReads } from "../processReads.js";
 import { monotonicClock } from "../systemClock.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 import { startBuffering } from "./buffering.js";
@@ -48,6 +48,7 @@
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
 import { createRelayedSource } from "./recordRelay.js";
 import { createUpstreamRateLimiter } from "./upstreamRateLimiter.js";
+import { createUpstreamReads } from "./upstreamReads.js";
 
 export type IngressDaemon = {
     /** Bound listener addresses as `ip:port`. */
@@ -75,6 +76,7 @@
     const clock = monotonicClock;
     const log = createIngressLog((event, fields) => logger.info(event, fields), clock);
     const metrics = createMetrics();
+    const upstreamReads = createUpstreamReads(processReads, { log, metrics });
     const state = createDeploymentState(clock, log);
     const health = createUpstreamHealth(clock, log);
     const pauses = createUpstreamPauses(clock, log);
@@ -94,7 +96,7 @@
         metrics,
     });
     const notices = { state, pauses, limits: upstreamLimits.stated };
-    const createSend = createCheckedSender(platform.headerAdapter, notices, clock);
+    const createSend = createCheckedSender(platform.headerAdapter, upstreamReads, notices, clock);
     const freshness = createTopicFreshness(clock, () => sharedRecords.storeTurn());
     const sharedRecords = createSharedRecords({
         host: config.host,
@@ -317,6 +319,7 @@
         handle,
         onError: error => logger.debug("connection failed", { reason: error.message }),
         buffering,
+        openBuffer: upstreamReads.openBuffer,
     });
     const isReady = (): boolean => {
         const isReadyNow = !plannedStop.hasBegun() && state.routeTable() !== undefined && crashEvidenceSync.isSettled()
--- a/src/transport/processReads.ts
+++ b/src/transport/processReads.ts
@@ -24,6 +24,7 @@
             close: read.close,
         };
     },
+    openBuffer: rule.openBuffer,
 };
 
 /** How many reads exceeded a bound since the start, for the metrics endpoint. */
