--- a/tests/ingress/stopSoakAnswers.test.ts
+++ b/tests/ingress/stopSoakAnswers.test.ts
@@ -191,12 +191,16 @@
         await Promise.all([...Array(entries).keys()].map(fleet.start));
         const endsAt = performance.now() + playMilliseconds;
         const isOver = (): boolean => performance.now() > endsAt;
-        await Promise.all([
+        const ends = await Promise.allSettled([
             ...[...Array(callers).keys()].map(caller => callInTurn(seed, caller, isOver)),
             stopInTurn(seed, isOver),
             reconfigureInTurn(seed, isOver),
             servers.disturb(isOver),
         ]);
+        const failed = ends.find(end => end.status === "rejected");
+        if (failed !== undefined) {
+            throw failed.reason;
+        }
         await Promise.all(servers.runs.map(({ ended }) => ended));
         const problems = calls.flatMap(call => {
             const runs = servers.runs.filter(({ requestId }) => requestId === call.requestId);
