--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -48,7 +48,6 @@
 import { startMetricsServer, startReadinessServer } from "./readinessServer.js";
 import { createRelayedSource } from "./recordRelay.js";
 import { createUpstreamRateLimiter } from "./upstreamRateLimiter.js";
-import { createUpstreamReads } from "./upstreamReads.js";
 
 export type IngressDaemon = {
     /** Bound listener addresses as `ip:port`. */
@@ -76,7 +75,6 @@
     const clock = monotonicClock;
     const log = createIngressLog((event, fields) => logger.info(event, fields), clock);
     const metrics = createMetrics();
-    const upstreamReads = createUpstreamReads(processReads, { log, metrics });
     const state = createDeploymentState(clock, log);
     const health = createUpstreamHealth(clock, log);
     const pauses = createUpstreamPauses(clock, log);
@@ -96,7 +94,7 @@
         metrics,
     });
     const notices = { state, pauses, limits: upstreamLimits.stated };
-    const createSend = createCheckedSender(platform.headerAdapter, upstreamReads, notices, clock);
+    const createSend = createCheckedSender(platform.headerAdapter, { log, metrics }, notices, clock);
     const freshness = createTopicFreshness(clock, () => sharedRecords.storeTurn());
     const sharedRecords = createSharedRecords({
         host: config.host,
@@ -319,7 +317,7 @@
         handle,
         onError: error => logger.debug("connection failed", { reason: error.message }),
         buffering,
-        openBuffer: upstreamReads.openBuffer,
+        openBuffer: processReads.openBuffer,
     });
     const isReady = (): boolean => {
         const isReadyNow = !plannedStop.hasBegun() && state.routeTable() !== undefined && crashEvidenceSync.isSettled()
