Survive SIGHUP while a process starts

What was seen: an entry that got SIGHUP while it started ended by itself, since its handler was installed only once it had started; the soak of stops met it. Rank agents had the same order.

Change: the handler is installed before anything else is done. The time in which Node loads the program itself stays open.

--- a/src/programs/ingress.ts
+++ b/src/programs/ingress.ts
@@ -32,6 +32,11 @@
             availabilityZone: config.availabilityZone,
             role: "ingress",
         });
+        // Without a handler SIGHUP would end the process; the configuration file is not read again.
+        process.on(
+            "SIGHUP",
+            () => logger.info("reload", { file: args.config ?? process.env[configurationFileVariable] }),
+        );
         const lifetime = new AbortController();
         const store = createStoreClient(config.store.address, lifetime.signal);
         const adapter = {
@@ -47,11 +52,6 @@
         logger.info("starting", { callers: config.callers, store: config.store.address });
         const daemon = await startIngress(config, adapter, logger, lifetime.signal);
         logger.info("started", { callers: config.callers, startMilliseconds: Math.round(performance.now()) });
-        // Without a handler SIGHUP would end the process; the configuration file is not read again.
-        process.on(
-            "SIGHUP",
-            () => logger.info("reload", { file: args.config ?? process.env[configurationFileVariable] }),
-        );
         onStopSignal(async name => {
             logger.info("stopping", { signal: name });
             await daemon.stop();
--- a/src/programs/rank.ts
+++ b/src/programs/rank.ts
@@ -25,6 +25,8 @@
         const config = loadConfig(rankConfigSchema, args.config ?? process.env[configurationFileVariable] ?? "");
         const { host, availabilityZone } = config;
         const logger = createLogger(config.logLevel, { host, availabilityZone, role: "rank" });
+        // Without a handler SIGHUP would end the process; the configuration file is not read again.
+        process.on("SIGHUP", () => logger.info("reload"));
         const lifetime = new AbortController();
         const store = createStoreClient(config.store.address, lifetime.signal);
         logger.info("starting", { engine: config.engine, store: config.store.address });
@@ -35,8 +37,6 @@
             lifetime.signal,
         );
         logger.info("started", { engine: config.engine, startMilliseconds: Math.round(performance.now()) });
-        // Without a handler SIGHUP would end the process; the configuration file is not read again.
-        process.on("SIGHUP", () => logger.info("reload"));
         onStopSignal(name => {
             logger.info("stopping", { signal: name });
             lifetime.abort();
--- a/tests/support/entryProcesses.ts
+++ b/tests/support/entryProcesses.ts
@@ -1,7 +1,7 @@
 /**
  * Entries as processes at addresses of their own, for tests that stop, kill and start them.
  */
-import { once } from "node:events";
+import { EventEmitter, once } from "node:events";
 import { writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
@@ -24,6 +24,8 @@
     ip: (entry: number) => string;
     /** Starts an entry, or starts it again; resolves once it has a configuration. */
     start: (entry: number) => Promise<EntryProcess>;
+    /** The process of an entry whose start is under way, as soon as there is one. */
+    launched: (entry: number) => Promise<EntryProcess>;
     /** The latest process of an entry. */
     current: (entry: number) => EntryProcess;
 };
@@ -48,6 +50,7 @@
 ): Promise<EntryProcesses> => {
     const [callerPort = 0, readiness, metrics, gossip] = await Promise.all([1, 2, 3, 4].map(freePort));
     const processes = new Map<number, EntryProcess>();
+    const launches = new EventEmitter();
     return {
         callerPort,
         ip: entryIp,
@@ -75,9 +78,11 @@
             });
             const started = { program, stoppedAt: undefined, killedAt: undefined };
             processes.set(entry, started);
+            launches.emit(String(entry), started);
             await program.waitForEvent("configuration in force");
             return started;
         },
+        launched: async entry => (await once(launches, String(entry)))[0] as EntryProcess,
         current: entry => processes.get(entry)!,
     };
 };
