--- a/src/coordination/peerReads.ts
+++ b/src/coordination/peerReads.ts
@@ -55,10 +55,11 @@
 };
 
 /**
- * Own allowances are over twice what sound peers of the deployments in use need: streams send 30 events a second in five
+ * Own allowances are about twice what sound peers of the deployments in use need: streams send 30 events a second in five
  * lines each, other answers have some kilobytes, and the store's and other entries' responses some hundred. The bytes of a
  * stream aren't kept, so its time limit bounds it. A whole answer that is too large for its pace is ended while another
- * server may still answer in time; the largest takes 0.45 s while no other read is fast. Of servers, 60 may send as much as their burst at the same moment.
+ * server may still answer in time; the largest takes 0.45 s while no other read is fast. Of servers, 60 may send as much
+ * as their burst at the same moment.
  */
 const limitsOf: Record<PeerReadKind, ReadLimits> = {
     "answer": { maximumBytes: 16_777_216, ownCostPerSecond: 147_456, ownBurst: 32_768, maximumWaitMilliseconds: 500 },
