Ask for a key where the list of accounts is empty

Cause: the decoder turned an absent and an empty list of accounts into the same empty list, and authorize() took an empty list for "no key is needed". The list is now undefined where the configuration has none, and an empty one admits public routes only.

oddRecords wrote its invalid configurations with an empty list so that one in force would show as an open door; they now have no list, which is what opens it, and four odd lists of accounts are added. Both checks stay: versions in force, and 401 at the end.

--- a/src/coordination/ingress/routeTable.ts
+++ b/src/coordination/ingress/routeTable.ts
@@ -35,7 +35,7 @@
         [...routePriorities].filter(([, distinct]) => distinct.size > 1).map(([service, distinct]) => [service, {
             routes: ascending(distinct),
             // A route's own priority counts for callers without an account and for accounts without a priority.
-            accounts: ascending(new Set([...distinct, ...accounts.flatMap(({ priority }) => priority ?? [])])),
+            accounts: ascending(new Set([...distinct, ...(accounts ?? []).flatMap(({ priority }) => priority ?? [])])),
         }]),
     );
 };
@@ -48,7 +48,7 @@
         byHost.set(route.host, routes);
     }
     const accounts = new Map(
-        configuration.accounts.flatMap(account => account.keys.map(key => [key, account] as const)),
+        (configuration.accounts ?? []).flatMap(account => account.keys.map(key => [key, account] as const)),
     );
 
     const findRoute = (host: string, path: string): IngressRoute | undefined => {
@@ -87,14 +87,14 @@
     | { kind: "unknown-route"; }
     | { kind: "unauthenticated"; };
 
-/** Finds the route and the account of a request; API keys are checked only if the configuration has accounts. */
+/** Finds the route and the account of a request; API keys are checked if the configuration lists accounts, even none. */
 export const authorize = (table: RouteTable, { host, path, apiKey }: Envelope): AuthorizationResult => {
     const route = table.findRoute(host, path);
     if (route === undefined) {
         return { kind: "unknown-route" };
     }
     const account = apiKey === undefined ? undefined : table.findAccount(apiKey);
-    if (account === undefined && !route.isPublic && table.configuration.accounts.length > 0) {
+    if (account === undefined && !route.isPublic && table.configuration.accounts !== undefined) {
         return { kind: "unauthenticated" };
     }
     return { kind: "allowed", route, account, priority: account?.priority ?? route.priority };
--- a/src/state/ingressTypes.ts
+++ b/src/state/ingressTypes.ts
@@ -86,7 +86,8 @@
     routes: IngressRoute[];
     services: UpstreamService[];
     limits: CallerLimits;
-    accounts: IngressAccount[];
+    /** Undefined if requests need no API key; an empty list admits public routes only. */
+    accounts: IngressAccount[] | undefined;
 };
 
 /** The lock-step group to which a model upstream belongs. */
--- a/tests/ingress/endToEnd.test.ts
+++ b/tests/ingress/endToEnd.test.ts
@@ -240,6 +240,20 @@
             expect((await deployment.call("/read/1")).status).to.equal(200);
         });
 
+        // An empty list of accounts was taken for none at all, which let every key in.
+        it("and runs no request with an unknown key once the last account is taken away", async () => {
+            const [server] = await serve("catalogue", 1);
+            deployment.configure(5, { tenants: [] });
+            await deployment.waitUntil(() => deployment.logLines.some(line => line.version === 5));
+            for (const apiKey of [validApiKey, "key-that-nobody-has"]) {
+                expect((await deployment.call("/book/1", { method: "POST", apiKey })).status).to.equal(401);
+            }
+            expect(server?.receivedRequests).to.have.length(0);
+            deployment.configure(6, { tenants: undefined });
+            await deployment.waitUntil(() => deployment.logLines.some(line => line.version === 6));
+            expect((await deployment.call("/book/1", { method: "POST" })).status).to.equal(200);
+        });
+
         it("and sends nothing to servers that are draining, removed or in an evacuated zone", async () => {
             const [draining, left, stays] = await serve("catalogue", 3);
             const away = await startSealedServer("i-away");
--- a/tests/ingress/ingressDecisions.test.ts
+++ b/tests/ingress/ingressDecisions.test.ts
@@ -10,7 +10,7 @@
 import { missingResponseCode } from "../../src/coordination/ingress/requestContext.js";
 import { authorize, chooseService, compileRouteTable } from "../../src/coordination/ingress/routeTable.js";
 import { createUpstreamHealth } from "../../src/coordination/ingress/upstreamHealth.js";
-import type { Envelope, IngressRoute } from "../../src/state/ingressTypes.js";
+import type { Envelope, IngressAccount, IngressRoute } from "../../src/state/ingressTypes.js";
 import { steppedClock } from "../support/steppedClock.js";
 import { virtualClock } from "../support/virtualClock.js";
 
@@ -97,6 +97,15 @@
         expect(authorize(table, envelope("/open/1"))).to.include({ kind: "allowed", priority: 3 });
     });
 
+    it("lets no key in if its list of accounts is empty or an account has no keys, and any if it has no list", () => {
+        const kindWith = (accounts: IngressAccount[] | undefined, path = "/a/1") =>
+            authorize(compileRouteTable({ ...table.configuration, accounts }), envelope(path, "good")).kind;
+        expect(kindWith([])).to.equal("unauthenticated");
+        expect(kindWith([{ name: "council", keys: [], priority: 0 }])).to.equal("unauthenticated");
+        expect(kindWith([], "/open/1")).to.equal("allowed");
+        expect(kindWith(undefined)).to.equal("allowed");
+    });
+
     it("distributes requests among services by weight", () => {
         const split = route("/", { services: [{ service: "old", weight: 90 }, { service: "new", weight: 10 }] });
         const drawn = [0, 0.5, 0.899, 0.901, 0.999].map(sample => chooseService(split, sample));
--- a/tests/ingress/oddRecords.test.ts
+++ b/tests/ingress/oddRecords.test.ts
@@ -65,7 +65,8 @@
         });
     }
 
-    const valid = standardConfiguration(3) as { routes: object[]; limits: object; };
+    // Without accounts, any of them that came into force would let an unknown key in.
+    const valid = standardConfiguration(3, { tenants: undefined }) as { routes: object[]; limits: object; };
     const invalidConfigurations: Record<string, object> = {
         "a version that is no whole number": { ...valid, version: 2.5 },
         "a version beyond all others": { ...valid, version: 1e300 },
@@ -77,6 +78,10 @@
             routes: [{ ...valid.routes[0], split: [{ service: "catalogue", weight: -1 }] }],
         },
         "no limits": { ...valid, limits: undefined },
+        "a list of accounts that is no list": { ...valid, tenants: {} },
+        "an account without a list of keys": { ...valid, tenants: [{ name: "council" }] },
+        "an account that is null": { ...valid, tenants: [null] },
+        "null in place of the accounts": { ...valid, tenants: null },
     };
 
     for (const [what, configuration] of Object.entries(invalidConfigurations)) {
@@ -127,7 +132,7 @@
                 deployment.logLines.some(line => line.event === "configuration in force" && line.version === 1)
             );
             Object.values(invalidConfigurations).forEach(configuration =>
-                deployment.store.put(topics.operator, "config", { ...configuration, tenants: [] })
+                deployment.store.put(topics.operator, "config", configuration)
             );
             deployment.configure(4);
             await deployment.waitUntil(() =>
