--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -2,7 +2,7 @@
  * Runs the project's programs as child processes and waits for the events that they print as JSON lines.
  */
 import { type ChildProcess, spawn } from "node:child_process";
-import { readFileSync } from "node:fs";
+import { readdirSync, readFileSync } from "node:fs";
 import { createInterface } from "node:readline";
 
 export type ProgramEvent =
@@ -20,6 +20,8 @@
     output: () => string;
     /** The most memory that was resident at once, in megabytes of 1,000,000 bytes; undefined once the process has exited. */
     peakMegabytes: () => number | undefined;
+    /** Open descriptors; undefined once the process has exited. */
+    descriptors: () => number | undefined;
 };
 
 const bytesPerKibibyte = 1_024;
@@ -97,6 +99,14 @@
                 return undefined;
             }
         },
+        descriptors: () => {
+            try {
+                return readdirSync(`/proc/${child.pid}/fd`).length;
+            }
+            catch {
+                return undefined;
+            }
+        },
     };
 };
 
--- a/tests/support/slowCaller.ts
+++ b/tests/support/slowCaller.ts
@@ -94,6 +94,10 @@
 
 export type EntryProcess = {
     callers: string;
+    readiness: string;
+    metrics: string;
+    /** For other entries. */
+    internal: string;
     program: Program;
     /** A value of the entry's metrics. */
     metric: (name: string) => Promise<number>;
@@ -107,6 +111,8 @@
     contracts = [slowReadersContract],
     /** Gives the address at which the entry finds the store, by default the store's own. */
     reachStore: (address: string) => Promise<string> = address => Promise.resolve(address),
+    /** Replaces fields of the operator's configuration, and of the entry's own settings. */
+    changes: { configuration?: object; settings?: object; } = {},
 ): Promise<EntryProcess> => {
     const store = await startKeyedStore();
     const { routes, services } = standardConfiguration(1) as { routes: object[]; services: object[]; };
@@ -126,6 +132,7 @@
         standardConfiguration(1, {
             routes: [...routes, floodRoute, plainFloodRoute],
             services: [...services, { name: "flood" }],
+            ...changes.configuration,
         }),
     );
     for (const { id, address, service } of servers) {
@@ -159,6 +166,7 @@
             retryWindowSeconds: 10,
             memoryMegabytes,
             platformContracts: contracts,
+            ...changes.settings,
         }),
     );
     const program = startProgram("ingress", ["--config", file], deployedNodeOptions);
@@ -176,6 +184,9 @@
     }
     return {
         callers: `127.0.0.1:${callers}`,
+        readiness: `127.0.0.1:${readiness}`,
+        metrics: `127.0.0.1:${metrics}`,
+        internal: `127.0.0.1:${internal}`,
         program,
         metric: async name => {
             const text = await (await fetch(`http://127.0.0.1:${metrics}/metrics`)).text();
