Bound what a process holds for the clients of its listeners

Callers saw: an entry, or the agent beside a server, ended with all their requests while clients outside the limits were connected.

Cause: Node's HTTP server turns all that one read brings into objects, the requests that it answers by itself among them (no host, an expectation that nobody knows); nothing bounded how many of a connection waited, what all unfinished bodies held together, how many views of one byte a body in chunks kept, or how many connections there were.

Change: one rule for all listeners. Bodies are collected in blocks and refused as soon as they exceed their limit or the budget. Bodies of attempts, operators and the own path's chunked ones are read the same way.

--- a/src/coordination/peerReads.ts
+++ b/src/coordination/peerReads.ts
@@ -1,5 +1,6 @@
 /**
- * Bounds what a process reads from its peers: servers, the store, engines, other entries and agents.
+ * Bounds what a process reads from its peers: servers, the store, engines, other entries, agents, and the clients of its
+ * listeners.
  *
  * A peer may send bytes without end, well-formed or not. Each read has a largest size by its kind, and a pace: what a
  * sound peer sends passes at once, and what comes faster draws on one allowance of the whole process. When that is spent,
@@ -10,9 +11,10 @@
 
 /**
  * `answer`: a server's whole answer; `stream`: its event stream; `store`: a response of the platform's store or log;
- * `report`: a probe, load report or other small response; `entry`: a response of another entry or agent.
+ * `report`: a probe, load report or other small response; `entry`: a response of another entry or agent; `client`: all that
+ * arrives on a connection of a listener.
  */
-export type PeerReadKind = "answer" | "stream" | "store" | "report" | "entry";
+export type PeerReadKind = "answer" | "stream" | "store" | "report" | "entry" | "client";
 
 export type ReadVerdict =
     /** Goes on at once, or after this many milliseconds without reading. */
@@ -87,16 +89,27 @@
         ownBurst: 262_144,
         maximumWaitMilliseconds: Infinity,
     },
+    "client": {
+        maximumBytes: Infinity,
+        ownCostPerSecond: 147_456,
+        ownBurst: 65_536,
+        maximumWaitMilliseconds: Infinity,
+    },
 };
 /** A server may send some, such as early hints; more serve no purpose. */
 const maximumInterims = 32;
-/**
- * What all reads of a process keep at once beside their own bytes, of which each has its share; a process has 202 MB or
- * more. Reads that keep less than their share go on, so the sum may come to twice as much.
- */
-const maximumKeptBytes = 16_777_216;
-/** Kept by any read or buffer without drawing on that budget, so that a few large ones don't end small ones. */
-const ownKeptBytes = 32_768;
+export type KeptLimits = {
+    /**
+     * What all reads keep at once beside their own bytes, of which each has its share. Reads that keep less than their share go
+     * on, so the sum may come to twice as much.
+     */
+    maximumKeptBytes: number;
+    /** Kept by any read or buffer without drawing on that budget, so that a few large ones don't end small ones. */
+    ownKeptBytes: number;
+};
+
+/** For a process of 202 MB or more. */
+const defaultKeptLimits: KeptLimits = { maximumKeptBytes: 16_777_216, ownKeptBytes: 32_768 };
 /** Processor time of a piece beside its bytes: a line of an event or of chunk framing takes 2.3 to 3.2 microseconds. */
 const pieceCost = 384;
 /**
@@ -138,7 +151,10 @@
 const goOn: ReadVerdict = { kind: "go-on", afterMilliseconds: 0 };
 
 /** Creates the reads of one process, which share its allowance and its budget. */
-export const createPeerReads = (clock: Pick<Clock, "now">): PeerReads => {
+export const createPeerReads = (
+    clock: Pick<Clock, "now">,
+    { maximumKeptBytes, ownKeptBytes }: KeptLimits = defaultKeptLimits,
+): PeerReads => {
     const shared = createBucket(clock, sharedCostPerSecond, sharedBurst);
     let keptBytes = 0;
     /** Reads and buffers that draw on the budget. */
--- a/src/protocol/ingressConfig.ts
+++ b/src/protocol/ingressConfig.ts
@@ -33,6 +33,8 @@
     retryWindowSeconds: z.number().positive(),
     /** Memory at which the platform ends the process, in megabytes; undefined if there is no limit. */
     memoryMegabytes: z.number().positive().optional(),
+    /** Descriptors that the platform allows the process; undefined if they aren't stated. */
+    maximumDescriptors: z.int().positive().optional(),
     /** The platform's own names of the conditions in force; read by the platform's adapter only. */
     platformContracts: z.array(z.string()).default([]),
     /** Lets streams on their second attempt wait for a stalled group to recover, instead of refusing them at once. */
--- a/src/transport/attemptServer.ts
+++ b/src/transport/attemptServer.ts
@@ -27,15 +27,30 @@
     serviceAttemptSchema,
     tokenLine,
 } from "../protocol/attemptProtocol.js";
-import { type Refusal, refusal } from "../state/errors.js";
+import { type ErrorCode, type Refusal, refusal } from "../state/errors.js";
 import type { LoadReport } from "../state/types.js";
+import { boundBody, maximumPeerRequestBytes } from "./boundedRequest.js";
 import { disconnectSignal, type NodeBindings, startStream } from "./httpServer.js";
+import type { BodyRefusal } from "./requestBody.js";
 
 const unknownOutcomeStatus = 502;
 
 const sendRefusal = (context: Context, error: Refusal, load?: LoadReport): Response =>
     context.json({ refusal: error, load }, error.status as ContentfulStatusCode);
 
+const refusedBodyCodes: Record<BodyRefusal, ErrorCode> = { "too-large": "body-too-large", "no-room": "buffers-full" };
+
+/** Reads the body of an attempt; the refusal if it exceeds a bound. */
+const refuseLargeBody = async (context: Context<NodeBindings>, host: string): Promise<Response | undefined> => {
+    const refused = await boundBody(context);
+    return refused === undefined
+        ? undefined
+        : sendRefusal(
+            context,
+            refusal(refusedBodyCodes[refused], [refused === "no-room" ? host : String(maximumPeerRequestBytes)]),
+        );
+};
+
 const createWriter = (response: ServerResponse, attempt: string): ResponseStreamWriter => {
     let isOpened = false;
     const write = (line: string): void => {
@@ -78,6 +93,10 @@
     crashGuard: CrashGuard,
 ): void => {
     application.post("/attempts/model", async context => {
+        const tooLarge = await refuseLargeBody(context, dependencies.host);
+        if (tooLarge !== undefined) {
+            return tooLarge;
+        }
         const parsed = modelAttemptSchema.safeParse(await context.req.json().catch(() => undefined));
         if (!parsed.success) {
             return sendRefusal(context, refusal("malformed-body", [parsed.error.message]));
@@ -114,6 +133,10 @@
         (failureResponses[failure.kind] as (context: Context, failure: ServiceFailure) => Response)(context, failure);
 
     application.post("/attempts/service", async context => {
+        const tooLarge = await refuseLargeBody(context, dependencies.host);
+        if (tooLarge !== undefined) {
+            return tooLarge;
+        }
         const parsed = serviceAttemptSchema.safeParse(await context.req.json().catch(() => undefined));
         if (!parsed.success) {
             return sendRefusal(context, refusal("malformed-body", [parsed.error.message]));
--- a/src/transport/boundedBody.ts
+++ b/src/transport/boundedBody.ts
@@ -11,29 +11,27 @@
 const bodyBufferBytes = 512;
 /** Chunks that all reads take in one turn of the event loop: some milliseconds of processor time for the smallest. */
 const maximumChunksPerTurn = 1_024;
-const blockBytes = 16_384;
+const minimumBlockBytes = 1_024;
+const maximumBlockBytes = 16_384;
 
 /** Collects bytes in few buffers, as a chunk of one byte would otherwise keep the whole buffer that it was read into. */
 export const createByteCollector = () => {
     const blocks: Buffer[] = [];
     let last: Buffer = Buffer.alloc(0);
     let lastBytes = 0;
+    let collected = 0;
     return {
         add: (chunk: Buffer): void => {
+            collected += chunk.length;
             const copied = chunk.copy(last, lastBytes);
             lastBytes += copied;
             if (copied === chunk.length) {
                 return;
             }
             const rest = chunk.subarray(copied);
-            if (rest.length >= blockBytes) {
-                last = rest;
-                lastBytes = rest.length;
-            }
-            else {
-                last = Buffer.allocUnsafeSlow(blockBytes);
-                lastBytes = rest.copy(last);
-            }
+            const size = Math.min(maximumBlockBytes, Math.max(minimumBlockBytes, collected));
+            last = Buffer.allocUnsafeSlow(Math.max(size, rest.length));
+            lastBytes = rest.copy(last);
             blocks.push(last);
         },
         /** All bytes in one buffer; the collector is empty afterwards. */
@@ -44,6 +42,7 @@
             blocks.length = 0;
             last = Buffer.alloc(0);
             lastBytes = 0;
+            collected = 0;
             return all;
         },
     };
--- a/src/transport/boundedRequest.ts
+++ b/src/transport/boundedRequest.ts
@@ -1,34 +1,55 @@
 /**
- * Hands requests of other entries and agents on with a body that was read through the process's rule.
+ * Hands requests on with a body that was read through the rule for clients.
  */
 import type { Context } from "hono";
-import { ResultAsync } from "neverthrow";
-import { reasonOf } from "../state/errors.js";
-import { readWholeBody } from "./boundedBody.js";
 import type { NodeBindings } from "./httpServer.js";
-import { processReads } from "./processReads.js";
+import { type BodyRefusal, readRequestBody } from "./requestBody.js";
 
-const tooLargeStatus = 413;
+/** Of requests between daemons: maps and reports of all ranks of a group are the largest. */
+export const maximumPeerRequestBytes = 16_777_216;
+const refusalStatus: Record<BodyRefusal, number> = { "too-large": 413, "no-room": 503 };
 
-/** Calls `handle` with the request and its whole body; answers 413 and closes the connection if it exceeds a bound. */
-export const withBoundedBody = async (
+/** Reads the body of a request; resolves with the request that has it, or at once with the reason why it is refused. */
+const readBoundedRequest = (
     { req, env }: Context<NodeBindings>,
-    handle: (request: Request) => Promise<Response>,
-): Promise<Response> => {
-    if (req.method === "GET" || req.method === "HEAD") {
-        return handle(req.raw);
-    }
-    const read = processReads.open("entry");
-    try {
-        const body = await ResultAsync.fromPromise(readWholeBody(env.incoming, read), reasonOf);
-        if (body.isErr()) {
-            return new Response(body.error, { status: tooLargeStatus, headers: { connection: "close" } });
-        }
+    maximumBytes: number,
+): Promise<Request | BodyRefusal> =>
+    req.method === "GET" || req.method === "HEAD" ? Promise.resolve(req.raw) : new Promise((resolve, reject) => {
+        const { incoming: message, outgoing: response } = env;
         const { signal, headers } = req.raw;
         const { method, url } = req;
-        return await handle(new Request(url, { method, headers, body: new Uint8Array(body.value), signal }));
-    }
-    finally {
-        read.close();
+        readRequestBody({ message, response, maximumBytes, onRefused: resolve })
+            .then(body =>
+                body === undefined
+                    ? undefined
+                    : resolve(new Request(url, { method, headers, body: new Uint8Array(body), signal }))
+            )
+            .catch(reject);
+    });
+
+/** Calls `handle` with the request and its whole body; refuses it and closes the connection if it exceeds a bound. */
+export const withBoundedBody = async (
+    context: Context<NodeBindings>,
+    handle: (request: Request) => Promise<Response>,
+): Promise<Response> => {
+    const request = await readBoundedRequest(context, maximumPeerRequestBytes);
+    return typeof request === "string"
+        ? new Response(`request body refused: ${request}`, {
+            status: refusalStatus[request],
+            headers: { connection: "close" },
+        })
+        : handle(request);
+};
+
+/** Replaces the request of `context` by one with its whole body; resolves with the reason if that is refused. */
+export const boundBody = async (
+    context: Context<NodeBindings>,
+    maximumBytes = maximumPeerRequestBytes,
+): Promise<BodyRefusal | undefined> => {
+    const request = await readBoundedRequest(context, maximumBytes);
+    if (typeof request === "string") {
+        return request;
     }
+    context.req.raw = request;
+    return undefined;
 };
--- a/src/transport/experts/rankDaemon.ts
+++ b/src/transport/experts/rankDaemon.ts
@@ -19,7 +19,7 @@
 import { splitAddress } from "../address.js";
 import { startMetricsServer } from "../ingress/readinessServer.js";
 import type { Logger } from "../logger.js";
-import { peerReadMetricsText } from "../processReads.js";
+import { processMetricsText } from "../processClients.js";
 import { monotonicClock } from "../systemClock.js";
 import { createMapRelay, serveMapRelay } from "./mapRelay.js";
 import { startRankGossip } from "./rankGossip.js";
@@ -207,7 +207,7 @@
         isActive: wasActive,
         coordinator: coordinator?.status(),
     });
-    await startMetricsServer(config.metrics, () => metrics.text() + peerReadMetricsText(), dump);
+    await startMetricsServer(config.metrics, () => metrics.text() + processMetricsText(), dump);
     await serveMapRelay(`${config.ip}:${gossipPort}`, {
         prepare: (epoch, version, map) =>
             adapter.engines.order(ownEngine, epoch, { kind: "prepare", version, map }, signal),
--- a/src/transport/httpServer.ts
+++ b/src/transport/httpServer.ts
@@ -7,11 +7,13 @@
  */
 import type { HttpBindings } from "@hono/node-server";
 import type { Hono } from "hono";
-import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
+import type { RequestListener, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { errorBody } from "../protocol/callerProtocol.js";
 import { type ErrorCode, refusal } from "../state/errors.js";
 import { splitAddress } from "./address.js";
+import { createBoundedServer } from "./boundedServer.js";
+import { type ClientBounds, defaultClientBounds } from "./processClients.js";
 
 /** Bindings that give handlers access to Node's response object, for streams that are written line by line. */
 export type NodeBindings = { Bindings: HttpBindings; };
@@ -68,7 +70,7 @@
 export const listen = async <Environment extends NodeBindings>(
     application: Hono<Environment>,
     address: string,
-    limits: RequestLimits = defaultRequestLimits,
+    limits?: RequestLimits,
 ): Promise<Listener> => {
     const { getRequestListener } = await import("@hono/node-server");
     return listenWith(getRequestListener(application.fetch), address, limits);
@@ -81,6 +83,7 @@
 export const listenLazily = (
     loadApplication: () => Promise<Hono<NodeBindings>>,
     address: string,
+    bounds?: ClientBounds,
 ): Promise<Listener> => {
     let listener: Promise<RequestListener> | undefined;
     const load = async (): Promise<RequestListener> => {
@@ -90,10 +93,15 @@
         ]);
         return getRequestListener(application.fetch);
     };
-    return listenWith((request, response) => {
-        listener ??= load();
-        void listener.then(serve => serve(request, response));
-    }, address);
+    return listenWith(
+        (request, response) => {
+            listener ??= load();
+            void listener.then(serve => serve(request, response));
+        },
+        address,
+        undefined,
+        bounds,
+    );
 };
 
 /** Listens with a plain handler of Node.js. */
@@ -101,6 +109,7 @@
     handler: RequestListener,
     address: string,
     limits: RequestLimits = defaultRequestLimits,
+    bounds: ClientBounds = defaultClientBounds,
 ): Promise<Listener> => {
     const { host, port } = splitAddress(address);
     const openResponses = new WeakMap<Socket, ServerResponse>();
@@ -119,7 +128,14 @@
         openResponses.set(socket, response);
         return true;
     };
-    const server = createServer({
+    const sockets = new Set<Socket>();
+    const server = createBoundedServer({
+        ...bounds,
+        onConnection: socket => {
+            socket.setNoDelay(true);
+            sockets.add(socket);
+            socket.once("close", () => sockets.delete(socket));
+        },
         maxHeaderSize: limits.headerBytes,
         headersTimeout: limits.headersTimeoutMilliseconds,
         requestTimeout: limits.requestTimeoutMilliseconds,
@@ -134,12 +150,6 @@
         }
     });
     server.on("clientError", sendClientError);
-    const sockets = new Set<Socket>();
-    server.on("connection", (socket: Socket) => {
-        socket.setNoDelay(true);
-        sockets.add(socket);
-        socket.once("close", () => sockets.delete(socket));
-    });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen(port, host, resolve);
--- a/src/transport/ingress/callerServer.ts
+++ b/src/transport/ingress/callerServer.ts
@@ -4,9 +4,9 @@
  * The complete request is read before it is handled: an error response then never closes a connection on which part of
  * the request is still in transit, and the body can be sent again in a retry.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
-import { type HeldBytes, requestOverheadBytes } from "../../coordination/ingress/bufferBudget.js";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { type AddressInfo, Server as NetServer } from "node:net";
+import { requestOverheadBytes } from "../../coordination/ingress/bufferBudget.js";
 import type { HeaderAdapter } from "../../coordination/ingress/headerAdapter.js";
 import type { ResponseSink } from "../../coordination/ingress/requestContext.js";
 import type { PeerBuffer, PeerReads } from "../../coordination/peerReads.js";
@@ -14,7 +14,10 @@
 import { type Refusal, refusal } from "../../state/errors.js";
 import type { CallerLimits } from "../../state/ingressTypes.js";
 import { splitAddress } from "../address.js";
+import { createBoundedServer } from "../boundedServer.js";
 import { disconnectSignal, sendClientError } from "../httpServer.js";
+import type { ClientBounds } from "../processClients.js";
+import { type BodyRefusal, readRequestBody } from "../requestBody.js";
 import type { Buffering } from "./buffering.js";
 import { createCallerConnections } from "./callerConnections.js";
 import { paceSink, windowBytes } from "./pacedSink.js";
@@ -57,40 +60,11 @@
 const keepAliveMarginMilliseconds = 2_000;
 /** A caller that leaves this much of its response unread is disconnected, as the response would fill the memory. */
 const maximumUnreadBytes = 4_194_304;
+/** Others' bodies have been read or dropped by then; spread over as much again. */
+const noRoomRetrySeconds = 0.5;
 /** Enough for all callers of a zone to reconnect at once after a restart. */
 const listenBacklog = 1_024;
 
-/** Reads the body to its end; undefined if it exceeds `limit`, or once `onSpent` was called as it exceeds the budget. */
-const readBody = async (
-    message: IncomingMessage,
-    limit: number,
-    held: HeldBytes | undefined,
-    onSpent: () => void,
-): Promise<Buffer | undefined> => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    let heldLength = 0;
-    let isDropped = false;
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-        length += chunk.length;
-        if (!isDropped && held?.fits(chunk.length) === false) {
-            isDropped = true;
-            onSpent();
-        }
-        if (length > limit || isDropped) {
-            held?.add(-heldLength);
-            heldLength = 0;
-            chunks.length = 0;
-        }
-        else {
-            held?.add(chunk.length);
-            heldLength += chunk.length;
-            chunks.push(chunk);
-        }
-    }
-    return length > limit || isDropped ? undefined : Buffer.concat(chunks);
-};
-
 /** Resolves when the caller has read what was written, and also when it is gone or `signal` aborts. */
 const whenDrained = (response: ServerResponse, signal: AbortSignal): Promise<void> =>
     new Promise(resolve => {
@@ -174,6 +148,7 @@
     buffering: Omit<Buffering, "metricsText"> | undefined;
     /** Accounts for what callers leave unread where it isn't budgeted. */
     openBuffer: PeerReads["openBuffer"];
+    bounds: ClientBounds;
 };
 
 /** Starts the server; resolves once it accepts connections. */
@@ -189,6 +164,7 @@
         onError,
         buffering,
         openBuffer,
+        bounds,
     } = options;
     let isDraining = false;
     let inProgress = 0;
@@ -237,18 +213,26 @@
         };
         try {
             buffers?.held.add(requestOverheadBytes);
-            const refuseSpent = (): void => {
-                if (buffering !== undefined) {
-                    sink.refuse(buffering.refuse(message));
+            const refuseBody = (reason: BodyRefusal): void => {
+                if (!sink.hasStarted()) {
+                    sink.refuse(
+                        reason === "too-large"
+                            ? refusal("body-too-large", [String(bodyBytes)])
+                            : buffering?.refuse(message)
+                                ?? refusal("buffers-full", [host], noRoomRetrySeconds * (1 + Math.random())),
+                    );
                 }
             };
             lastCall.addEventListener("abort", refuseUnread);
-            const body = await readBody(message, bodyBytes, buffers?.held, refuseSpent);
+            const body = await readRequestBody({
+                message,
+                response,
+                maximumBytes: bodyBytes,
+                account: buffers?.held,
+                onRefused: refuseBody,
+            });
             lastCall.removeEventListener("abort", refuseUnread);
             if (body === undefined) {
-                if (!sink.hasStarted()) {
-                    sink.refuse(refusal("body-too-large", [String(bodyBytes)]));
-                }
                 return;
             }
             await answersBefore;
@@ -263,7 +247,9 @@
         }
     };
 
-    const server: Server = createServer({
+    const server: Server = createBoundedServer({
+        ...bounds,
+        onConnection: connections.add,
         maxHeaderSize: defaultLimits.headerBytes,
         headersTimeout: defaultLimits.headerTimeoutMilliseconds,
         keepAliveTimeout: defaultLimits.idleTimeoutMilliseconds + keepAliveMarginMilliseconds,
@@ -287,10 +273,6 @@
             });
     });
     server.on("clientError", sendClientError);
-    server.on("connection", (socket: Socket) => {
-        socket.on("error", () => socket.destroy());
-        connections.add(socket);
-    });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
         server.listen({ ...splitAddress(address), backlog: listenBacklog }, resolve);
--- a/src/transport/ingress/ingressDaemon.ts
+++ b/src/transport/ingress/ingressDaemon.ts
@@ -34,7 +34,8 @@
 import type { IngressConfig } from "../../protocol/ingressConfig.js";
 import { refusal } from "../../state/errors.js";
 import type { Logger } from "../logger.js";
-import { peerReadMetricsText, processReads } from "../processReads.js";
+import { clientBounds, processMetricsText } from "../processClients.js";
+import { processReads } from "../processReads.js";
 import { monotonicClock } from "../systemClock.js";
 import { createTimeoutSignal } from "../timeoutSignal.js";
 import { startBuffering } from "./buffering.js";
@@ -307,6 +308,7 @@
     const isCutOff = (): boolean =>
         peerStatuses.isZoneIsolated(config.availabilityZone) && !streamScheduler.hasRunningGroup();
 
+    const bounds = clientBounds(config);
     const callers = await startCallerServer({
         address: config.callers,
         host: config.host,
@@ -318,6 +320,7 @@
         onError: error => logger.debug("connection failed", { reason: error.message }),
         buffering,
         openBuffer: processReads.openBuffer,
+        bounds: bounds.callers,
     });
     const isReady = (): boolean => {
         const isReadyNow = !plannedStop.hasBegun() && state.routeTable() !== undefined && crashEvidenceSync.isSettled()
@@ -333,12 +336,10 @@
         }
         return isReadyNow;
     };
-    const peerServer = await startPeerServer(
-        `${config.ip}:${config.internalPorts[0]}`,
-        { records: sharedRecords.cache, upstreamLimits },
-        signal,
-    );
-    const readiness = await startReadinessServer(config.readiness, platform.readinessPath, isReady);
+    const peerAddress = `${config.ip}:${config.internalPorts[0]}`;
+    const peerServices = { records: sharedRecords.cache, upstreamLimits };
+    const peerServer = await startPeerServer(peerAddress, peerServices, signal, bounds.peers);
+    const readiness = await startReadinessServer(config.readiness, platform.readinessPath, isReady, bounds.control);
     const describeState = (): Record<string, unknown> => ({
         host: config.host,
         availabilityZone: config.availabilityZone,
@@ -354,11 +355,10 @@
         statedLimits: upstreamLimits.stated.limits(),
         ...(buffering === undefined ? {} : { buffers: buffering.budget.state() }),
     });
-    const configurationText = (): string =>
-        configurationGauges(state.routeTable()?.configuration.version, sharedRecords.topicStates());
     const metricsText = (): string =>
-        metrics.text() + configurationText() + (buffering?.metricsText() ?? "") + peerReadMetricsText();
-    const metricsServer = await startMetricsServer(config.metrics, metricsText, describeState);
+        metrics.text() + configurationGauges(state.routeTable()?.configuration.version, sharedRecords.topicStates())
+        + (buffering?.metricsText() ?? "") + processMetricsText();
+    const metricsServer = await startMetricsServer(config.metrics, metricsText, describeState, bounds.control);
 
     return {
         addresses: { callers: callers.address, readiness: readiness.address, metrics: metricsServer.address },
--- a/src/transport/ingress/peerServer.ts
+++ b/src/transport/ingress/peerServer.ts
@@ -10,6 +10,7 @@
 import { requestPermitEndpoint, requestPermitRouter } from "../../protocol/requestPermitRouter.js";
 import { withBoundedBody } from "../boundedRequest.js";
 import { type Listener, listenLazily, type NodeBindings } from "../httpServer.js";
+import type { ClientBounds } from "../processClients.js";
 
 export type PeerServices = { records: RecordSource; upstreamLimits: Pick<UpstreamLimits, "answer">; };
 
@@ -21,6 +22,7 @@
     address: string,
     { records, upstreamLimits }: PeerServices,
     signal: AbortSignal,
+    bounds?: ClientBounds,
 ): Promise<Listener> => {
     const closing = new AbortController();
     setMaxListeners(0, closing.signal);
@@ -59,7 +61,7 @@
                 })));
         return application;
     };
-    const listener = await listenLazily(loadApplication, address);
+    const listener = await listenLazily(loadApplication, address, bounds);
     return {
         address: listener.address,
         close: () => {
--- a/src/transport/ingress/readinessServer.ts
+++ b/src/transport/ingress/readinessServer.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Listener, listenWith } from "../httpServer.js";
+import type { ClientBounds } from "../processClients.js";
 
 type Page = { status: number; contentType?: string; body?: string; };
 
@@ -35,20 +36,26 @@
     response.end(body);
 };
 
-const listenWithPages = (address: string, pages: ReadonlyMap<string, () => Page>): Promise<Listener> =>
-    listenWith((request, response) => send(response, pageFor(request, pages)), address);
+const listenWithPages = (
+    address: string,
+    pages: ReadonlyMap<string, () => Page>,
+    bounds: ClientBounds | undefined,
+): Promise<Listener> =>
+    listenWith((request, response) => send(response, pageFor(request, pages)), address, undefined, bounds);
 
 export const startReadinessServer = (
     address: string,
     path: string,
     isReady: () => boolean,
+    bounds?: ClientBounds,
 ): Promise<Listener> =>
-    listenWithPages(address, new Map([[path, () => ({ status: isReady() ? readyStatus : notReadyStatus })]]));
+    listenWithPages(address, new Map([[path, () => ({ status: isReady() ? readyStatus : notReadyStatus })]]), bounds);
 
 export const startMetricsServer = (
     address: string,
     metrics: () => string,
     describeState: () => Record<string, unknown>,
+    bounds?: ClientBounds,
 ): Promise<Listener> =>
     listenWithPages(
         address,
@@ -60,4 +67,5 @@
                 body: JSON.stringify(describeState()),
             })],
         ]),
+        bounds,
     );
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -32,11 +32,12 @@
     operatorToken: string,
 ): void => {
     application.use(`${operatorEndpoint}/*`, requireToken(operatorToken));
-    application.all(`${operatorEndpoint}/*`, ({ req }) =>
-        fetchRequestHandler({
-            endpoint: operatorEndpoint,
-            req: req.raw,
-            router: operatorRouter,
-            createContext: () => context,
-        }));
+    application.all(`${operatorEndpoint}/*`, route =>
+        withBoundedBody(route, req =>
+            fetchRequestHandler({
+                endpoint: operatorEndpoint,
+                req,
+                router: operatorRouter,
+                createContext: () => context,
+            })));
 };
--- /dev/null
+++ b/src/transport/processClients.ts
@@ -0,0 +1,70 @@
+/**
+ * What this process reads from the clients of its listeners, all of which share one allowance and one budget, and a count of the
+ * connections that it ended.
+ */
+import type { ConnectionEndCause } from "../coordination/clientConnections.js";
+import { createPeerReads, type PeerReads } from "../coordination/peerReads.js";
+import { peerReadMetricsText } from "./processReads.js";
+import { monotonicClock } from "./systemClock.js";
+
+/** Requests of the deployments in use have up to 4 kB. */
+const ownKeptBytes = 16_384;
+/** Of a process that states no memory. */
+const assumedMemoryMegabytes = 202;
+/** What a process uses besides, and the part of the rest that clients may fill, as it may come to twice as much. */
+const reservedMegabytes = 120;
+const keptShare = 0.175;
+const bytesPerMegabyte = 1_000_000;
+const minimumKeptMegabytes = 8;
+
+/** Creates the rule for the clients of a process that is ended at `memoryMegabytes`. */
+const createClientReads = (memoryMegabytes = assumedMemoryMegabytes): PeerReads => {
+    const keptMegabytes = Math.max(minimumKeptMegabytes, (memoryMegabytes - reservedMegabytes) * keptShare);
+    return createPeerReads(monotonicClock, { maximumKeptBytes: keptMegabytes * bytesPerMegabyte, ownKeptBytes });
+};
+
+const endedClients = new Map<ConnectionEndCause, number>();
+
+export const countEndedClient = (cause: ConnectionEndCause): void => {
+    endedClients.set(cause, (endedClients.get(cause) ?? 0) + 1);
+};
+
+/** What was ended since the start for the bounds of reads, for the metrics endpoint. */
+export const processMetricsText = (): string =>
+    peerReadMetricsText()
+    + [...endedClients].map(([cause, count]) => `client_connections_ended_total{cause="${cause}"} ${count}\n`).join("");
+
+/** Bounds on the clients of a listener. */
+export type ClientBounds = {
+    maximumConnections: number;
+    /** Rule of the process for what it reads of clients. */
+    reads: PeerReads;
+};
+
+/** Of a listener that is given none. */
+export const defaultClientBounds: ClientBounds = { maximumConnections: 1_024, reads: createClientReads() };
+
+/** Descriptors of a process that states none. */
+const assumedDescriptors = 4_100;
+/** For files and what isn't a connection. */
+const reservedDescriptors = 200;
+/** Each request of a caller takes a connection to an upstream too; the rest is for the process's own calls. */
+const callersShare = 0.4;
+const peersShare = 0.1;
+const controlShare = 0.01;
+const minimumConnections = 8;
+
+/** Divides memory and descriptors of a process among its listeners: callers; other entries; checks and operators. */
+export const clientBounds = (
+    { memoryMegabytes, maximumDescriptors = assumedDescriptors }: {
+        memoryMegabytes?: number | undefined;
+        maximumDescriptors?: number | undefined;
+    },
+): Record<"callers" | "peers" | "control", ClientBounds> => {
+    const reads = createClientReads(memoryMegabytes);
+    const boundsOf = (share: number): ClientBounds => {
+        const connections = Math.floor((maximumDescriptors - reservedDescriptors) * share);
+        return { maximumConnections: Math.max(minimumConnections, connections), reads };
+    };
+    return { callers: boundsOf(callersShare), peers: boundsOf(peersShare), control: boundsOf(controlShare) };
+};
