Take no status outside 200 to 599 for an answer

Callers saw: a reset connection for a server's 000 or 099, also for idempotent requests; 101, 600 and 999 as answers (MIXED). With the field that says "not run", all five were believed and a booking ran twice (TWICE).

Cause: no status was checked. Node's client hands on any three digits, and its server throws on those below 100.

Change: one rule (protocol/responseStatus), applied where responses are taken: upstreamSender for plain requests and streams, requestFromPeer for probes, orders, the store and the own path. Such an attempt is broken: it may have run, none of its fields count.

--- a/src/transport/boundedBody.ts
+++ b/src/transport/boundedBody.ts
@@ -5,6 +5,7 @@
 import type { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import type { PeerRead, PeerReadKind } from "../coordination/peerReads.js";
+import { isFinalStatus } from "../protocol/responseStatus.js";
 import { createPeerReadError, processReads } from "./processReads.js";
 
 /** A body in chunks of one byte keeps an object for each byte that it buffers. */
@@ -181,6 +182,11 @@
         });
         // An abort reaches a request only once its connection is open.
         const { statusCode, headers, body } = await untilAborted(request, controller.signal);
+        if (!isFinalStatus(statusCode)) {
+            // Without a listener, the error of a body that is ended would end the process.
+            body.on("error", () => undefined).destroy();
+            throw createPeerReadError(`status ${statusCode} is no answer`);
+        }
         return await consume({ status: statusCode, headers, body }, read);
     }
     finally {
--- a/src/transport/ingress/upstreamSender.ts
+++ b/src/transport/ingress/upstreamSender.ts
@@ -17,6 +17,7 @@
     TransportFailure,
     UpstreamResponse,
 } from "../../coordination/ingress/upstreamAttempt.js";
+import { isFinalStatus } from "../../protocol/responseStatus.js";
 import { splitAddress } from "../address.js";
 import { connectMetered, type MeteredSocket } from "./meteredSocket.js";
 import type { RequestBuffers } from "./requestBuffers.js";
@@ -292,6 +293,11 @@
             }
         });
         outgoing.once("response", message => {
+            const status = message.statusCode ?? 0;
+            if (!isFinalStatus(status)) {
+                failAttempt(`status ${status} is no answer`);
+                return;
+            }
             isAnswered = true;
             clearTimeout(timer);
             stopWatching?.();
@@ -315,7 +321,7 @@
             );
             bodyReader = reader;
             const response: UpstreamResponse = {
-                status: message.statusCode ?? 0,
+                status,
                 metadata: headerAdapter.readResponseMetadata(message),
                 headers: headerAdapter.callerResponseHeaders(message, isEventStream),
                 body: reader.body,
