Pass on all fields of a request's head

Callers saw: a request with more than a thousand header fields, within the limit on their size, lost those behind the thousandth without a word: its host, id or key, and so got 400, or ran as another request than its client sent.

Cause: Node's HTTP server drops fields beyond a count by default (maxHeadersCount).

Change: no count; the size of a head is bounded, and counted with what its connection holds.

Evidence: clientLimits "has all fields of its head passed on" got 400 before and passes now. Found while writing the tests of single clients at the limits, which pass before and after: bodies of the largest size, in chunks of one byte, of empty lines, 40 requests sent ahead.

--- a/src/transport/boundedServer.ts
+++ b/src/transport/boundedServer.ts
@@ -40,6 +40,8 @@
 ): Server => {
     const connections = createClientConnections(maximumConnections, monotonicClock);
     const server = createServer({ ...options, requireHostHeader: false });
+    // Fields beyond a count would be dropped; their size is bounded.
+    server.maxHeadersCount = 0;
     const [attach] = server.listeners("connection") as ((this: Server, socket: ClientSocket) => void)[];
     server.removeAllListeners("connection");
 
