--- a/src/transport/clientSocket.ts
+++ b/src/transport/clientSocket.ts
@@ -30,7 +30,7 @@
 const sentAheadPieces = 85;
 /** Objects of a request that waits behind others. */
 const waitingRequestBytes = 8_192;
-/** Names and values of a head that isn't complete are kept as strings, which take several times as much if they are short. */
+/** Names and values of a head are kept as strings, which take several times as much if they are short. */
 const headMemoryFactor = 8;
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
@@ -75,12 +75,16 @@
         connection.on("timeout", () => this.emit("timeout"));
         connection.on("error", error => this.destroy(error));
         connection.once("close", () => this.destroy());
+        // Each open request adds some.
+        this.setMaxListeners(0);
         // Without a listener, an error would end the process.
         this.on("error", () => undefined);
     }
 
     /** Counts a request until the returned function is called. */
     public begin(request: OpenRequest): () => void {
+        const headMemory = this.#headBytes * headMemoryFactor;
+        this.#heldBytes += headMemory;
         this.#headBytes = 0;
         if (this.#openRequests > 0) {
             this.#waitFor(this.#read.take(0, sentAheadPieces));
@@ -89,6 +93,7 @@
         this.#lastRequest = request;
         return () => {
             this.#openRequests -= 1;
+            this.#heldBytes -= headMemory;
             this.#lastActivityAt = performance.now();
             this.#account();
             // The request may end while the parser handles the bytes that completed it.
