--- a/src/transport/attemptServer.ts
+++ b/src/transport/attemptServer.ts
@@ -31,7 +31,7 @@
 import type { LoadReport } from "../state/types.js";
 import { boundBody, maximumPeerRequestBytes } from "./boundedRequest.js";
 import { disconnectSignal, type NodeBindings, startStream } from "./httpServer.js";
-import type { BodyRefusal } from "./requestBody.js";
+import type { BodyRefusal } from "./processClients.js";
 
 const unknownOutcomeStatus = 502;
 
--- a/src/transport/boundedRequest.ts
+++ b/src/transport/boundedRequest.ts
@@ -3,7 +3,8 @@
  */
 import type { Context } from "hono";
 import type { NodeBindings } from "./httpServer.js";
-import { type BodyRefusal, readRequestBody } from "./requestBody.js";
+import type { BodyRefusal } from "./processClients.js";
+import { readRequestBody } from "./requestBody.js";
 
 /** Of requests between daemons: maps and reports of all ranks of a group are the largest. */
 export const maximumPeerRequestBytes = 16_777_216;
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -11,7 +11,7 @@
 import { type CallerRouteDependencies, sendRefusal } from "./callerChecks.js";
 import { completionRoute } from "./completionRoute.js";
 import type { NodeBindings } from "./httpServer.js";
-import type { BodyRefusal } from "./requestBody.js";
+import type { BodyRefusal } from "./processClients.js";
 import { serviceRoute } from "./serviceRoute.js";
 
 /** Used until the entry has read its settings. */
--- a/src/transport/daemonCore.ts
+++ b/src/transport/daemonCore.ts
@@ -24,6 +24,7 @@
 import { addOperatorRoutes } from "./operatorRoutes.js";
 import { createPeerExchange } from "./peerClient.js";
 import { addOperatorProcedures, addPeerRoutes } from "./peerServer.js";
+import { processMetricsText } from "./processClients.js";
 import { systemClock } from "./systemClock.js";
 
 const hostListPollMilliseconds = 1_000;
@@ -114,7 +115,7 @@
             addOperatorProcedures(application, { zoneOrders }, tokens.operatorToken);
             addOperatorRoutes(application, {
                 operatorToken: tokens.operatorToken,
-                metrics: metrics.text,
+                metrics: () => metrics.text() + processMetricsText(),
                 dump: () => ({
                     host: config.host,
                     availabilityZone: config.availabilityZone,
--- a/src/transport/processClients.ts
+++ b/src/transport/processClients.ts
@@ -23,16 +23,23 @@
     return createPeerReads(monotonicClock, { maximumKeptBytes: keptMegabytes * bytesPerMegabyte, ownKeptBytes });
 };
 
-const endedClients = new Map<ConnectionEndCause, number>();
+/** Why a body isn't kept: it exceeds its limit, or the process has no room for it. */
+export type BodyRefusal = "too-large" | "no-room";
 
-export const countEndedClient = (cause: ConnectionEndCause): void => {
-    endedClients.set(cause, (endedClients.get(cause) ?? 0) + 1);
+const counts = new Map<string, number>();
+
+const count = (name: string): void => {
+    counts.set(name, (counts.get(name) ?? 0) + 1);
 };
 
-/** What was ended since the start for the bounds of reads, for the metrics endpoint. */
+export const countEndedClient = (cause: ConnectionEndCause): void =>
+    count(`client_connections_ended_total{cause="${cause}"}`);
+
+export const countRefusedBody = (reason: BodyRefusal): void => count(`client_bodies_refused_total{reason="${reason}"}`);
+
+/** What was ended and refused since the start for the bounds of reads, for the metrics endpoint. */
 export const processMetricsText = (): string =>
-    peerReadMetricsText()
-    + [...endedClients].map(([cause, count]) => `client_connections_ended_total{cause="${cause}"} ${count}\n`).join("");
+    peerReadMetricsText() + [...counts].map(([name, value]) => `${name} ${value}\n`).join("");
 
 /** Bounds on the clients of a listener. */
 export type ClientBounds = {
--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -4,9 +4,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createByteCollector } from "./boundedBody.js";
 import { clientOf } from "./boundedServer.js";
-
-/** Why a body isn't kept: it exceeds its limit, or the process has no room for it. */
-export type BodyRefusal = "too-large" | "no-room";
+import { type BodyRefusal, countRefusedBody } from "./processClients.js";
 
 /** A further account of what is kept. */
 export type BodyAccount = { add: (bytes: number) => void; fits: (bytes: number) => boolean; };
@@ -41,6 +39,7 @@
         };
         const refuse = (reason: BodyRefusal): void => {
             isRefused = true;
+            countRefusedBody(reason);
             account?.add(-keptBytes);
             release();
             collector.takeAll();
