--- a/src/transport/processClients.ts
+++ b/src/transport/processClients.ts
@@ -13,7 +13,7 @@
 const assumedMemoryMegabytes = 202;
 /** What a process uses besides, and the part of the rest that clients may fill, as it may come to twice as much. */
 const reservedMegabytes = 120;
-const keptShare = 0.175;
+const keptShare = 0.125;
 const bytesPerMegabyte = 1_000_000;
 const minimumKeptMegabytes = 8;
 
@@ -53,7 +53,7 @@
 /** For files and what isn't a connection. */
 const reservedDescriptors = 200;
 /** Each request of a caller takes a connection to an upstream too; the rest is for the process's own calls. */
-const callersShare = 0.4;
+const callersShare = 0.3;
 const peersShare = 0.1;
 const controlShare = 0.01;
 const minimumConnections = 8;
