Don't take empty lines behind a request for a stalled one

Callers would see: a stream that lasts longer than 17 s cut off, if its caller had sent an empty line behind its request, as some clients do behind a body; the connection counted as one whose request has stopped to arrive.

Change: only the head of a request on a connection with no open one, or an unfinished body, is waited for. A body whose request broke off before it was read no longer waits for an end that has passed.

--- a/src/transport/clientSocket.ts
+++ b/src/transport/clientSocket.ts
@@ -17,7 +17,7 @@
 
 /** Taken from the connection at once. */
 const readBytes = 2_048;
-/** Larger than any request without a body, so that its bytes are buffered only while requests wait. */
+/** Buffered for the HTTP server; a body in chunks of one byte keeps an object for each byte. */
 const bufferBytes = 512;
 const maximumSliceLines = 64;
 /** A body may consist of empty lines, so that a slice for each would cost more than the requests that it tells apart. */
@@ -117,9 +117,9 @@
         return this.destroyed ? goOn : this.#buffer.resize(this.#keptBytes());
     }
 
-    /** See `ClientConnection`. */
+    /** See `ClientConnection`. Empty lines behind a request that is handled begin no other one. */
     public isReading(): boolean {
-        return this.#headBytes > 0 || this.#lastRequest?.isComplete() === false;
+        return this.#headBytes > 0 && this.#openRequests === 0 || this.#lastRequest?.isComplete() === false;
     }
 
     public waitingSince(): number | undefined {
--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -68,6 +68,9 @@
         if (declaredBytes > maximumBytes) {
             refuse("too-large");
         }
+        if (message.destroyed) {
+            reject(new Error("request broke off before it was read"));
+        }
         message.on("data", (chunk: Buffer) => {
             if (!isRefused) {
                 keep(chunk);
