Hand over one head at a time also when the HTTP server asks for more

Callers would see nothing by itself: up to 512 bytes of requests, some 28 bare ones, were handed over beyond the 16 that may be open, as what a stream pushes while it is asked for more is buffered first, and requests are counted only once the parser has seen them.

Change: what is asked for is passed on in the next turn. Evidence: clientSocket "hands over no further head while 16 requests are open" saw 20 heads before and 16 now; clientLimits and httpServer pass (15 tests).

--- a/src/transport/clientSocket.ts
+++ b/src/transport/clientSocket.ts
@@ -174,7 +174,8 @@
 
     public override _read(): void {
         this.#isWanted = true;
-        this.#passOn();
+        // What is passed on within this call is buffered, so that requests would be counted only behind the next ones.
+        process.nextTick(() => this.#passOn());
     }
 
     public override _write(chunk: Buffer, encoding: BufferEncoding, done: (error?: Error | null) => void): void {
--- a/tests/clientSocket.test.ts
+++ b/tests/clientSocket.test.ts
@@ -37,6 +37,17 @@
         expect(slices).to.deep.equal([request, request, request]);
     });
 
+    it("hands over no further head while 16 requests are open", async () => {
+        const finished: (() => void)[] = [];
+        socket.on("data", () => void finished.push(socket.begin({ isComplete: () => true, isChunked: false })));
+        await send(request.repeat(20));
+        expect(slices).to.have.length(16);
+        const next = once(socket, "data");
+        finished[0]?.();
+        await next;
+        expect(slices).to.have.length(17);
+    });
+
     it("doesn't wait for the rest of a request while one is handled that empty lines follow", async () => {
         await send(request);
         const finish = socket.begin({ isComplete: () => true, isChunked: false });
