Keep the connection of a client whose body was refused

Callers that sent a body of more than twice maxBodyBytes lost their connection right behind the refusal, whose head said that it is kept: the next request on it failed, and some clients lost the 413 itself.

The connection was closed once as much as the limit had been dropped behind a refusal. With a low limit that is the rest of an ordinary body that arrives in one piece. At least 1 MiB is dropped now; it is held nowhere, so that no bound on memory changes, and bodies far over the limit still end in a close.

--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -19,9 +19,12 @@
     onRefused: (reason: BodyRefusal) => void;
 };
 
+/** Closing a connection on which more arrives takes the refusal from a client that hasn't read it yet. */
+const minimumDroppedBytes = 1_048_576;
+
 /**
  * Resolves with the whole body; with undefined at the end of one that was refused. What follows a refusal is dropped, and the
- * connection closed if it is more than another `maximumBytes`. Rejects if the body breaks off.
+ * connection closed if it is more than another `maximumBytes` and 1 MiB. Rejects if the body breaks off.
  */
 export const readRequestBody = (
     { message, response, maximumBytes, account, onRefused }: RequestBodyOptions,
@@ -77,7 +80,7 @@
                 return;
             }
             droppedBytes += chunk.length;
-            if (droppedBytes > maximumBytes) {
+            if (droppedBytes > Math.max(maximumBytes, minimumDroppedBytes)) {
                 message.socket.destroy();
             }
         });
--- a/tests/ingress/clientLimits.test.ts
+++ b/tests/ingress/clientLimits.test.ts
@@ -105,4 +105,17 @@
         connection.write(text.replace("Content-Length: 1", `Content-Length: ${maxBodyBytes + 1}`));
         expect(statuses(await connection.until(answered))).to.deep.equal(["413"]);
     });
+
+    // The connection was closed right behind the refusal, which some clients lost with it.
+    it("keeps the connection after the refusal of a body three times too large", async () => {
+        deployment.configure(3, { limits: { ...limits, maxBodyBytes: 1_000 } });
+        await deployment.waitUntil(() =>
+            deployment.logLines.some(line => line.event === "configuration in force" && line["version"] === 3)
+        );
+        const large = requestText({ path: "/book/1", requestId: "large", patience, body: "a".repeat(3_000) });
+        connection.write(`${large}a`);
+        expect(statuses(await connection.until(answered))).to.deep.equal(["413"]);
+        connection.write(request("next"));
+        expect(statuses(await connection.until(text => statuses(text).length === 2))).to.deep.equal(["413", "200"]);
+    });
 });
