Spend less processor time on each request of a client

Three parts of that served nobody: each body that had been read whole made an error with a stack behind it (108 ms of a profile of 3,200 requests), each text was turned into a buffer before it reached the connection, and each answer asked for the next request, though only one that ends a full row of 16 can let one in.

--- a/src/transport/clientSocket.ts
+++ b/src/transport/clientSocket.ts
@@ -66,6 +66,7 @@
     public constructor({ connection, reads, onExceeded }: ClientSocketOptions) {
         super({
             allowHalfOpen: true,
+            decodeStrings: false,
             readableHighWaterMark: bufferBytes,
             writableHighWaterMark: connection.writableHighWaterMark,
         });
@@ -106,8 +107,10 @@
             this.#heldBytes -= headMemory;
             this.#lastActivityAt = performance.now();
             this.#account();
-            // The request may end while the parser handles the bytes that completed it.
-            setImmediate(() => this.#passOn());
+            if (this.#openRequests === maximumOpenRequests - 1) {
+                // The request may end while the parser handles the bytes that completed it.
+                setImmediate(() => this.#passOn());
+            }
         };
     }
 
@@ -178,12 +181,16 @@
         process.nextTick(() => this.#passOn());
     }
 
-    public override _write(chunk: Buffer, encoding: BufferEncoding, done: (error?: Error | null) => void): void {
+    public override _write(
+        chunk: Buffer | string,
+        encoding: BufferEncoding,
+        done: (error?: Error | null) => void,
+    ): void {
         this.#connection.write(chunk, encoding, done);
     }
 
     public override _writev(
-        parts: { chunk: Buffer; encoding: BufferEncoding; }[],
+        parts: { chunk: Buffer | string; encoding: BufferEncoding; }[],
         done: (error?: Error | null) => void,
     ): void {
         this.#connection.cork();
--- a/src/transport/requestBody.ts
+++ b/src/transport/requestBody.ts
@@ -84,7 +84,15 @@
                 message.socket.destroy();
             }
         });
-        message.once("end", () => resolve(isRefused ? undefined : collector.takeAll()));
+        let hasEnded = false;
+        message.once("end", () => {
+            hasEnded = true;
+            resolve(isRefused ? undefined : collector.takeAll());
+        });
         message.on("error", reject);
-        message.once("close", () => reject(new Error("request broke off")));
+        message.once("close", () => {
+            if (!hasEnded) {
+                reject(new Error("request broke off"));
+            }
+        });
     });
