--- a/tests/ingress/clientCrowds.test.ts
+++ b/tests/ingress/clientCrowds.test.ts
@@ -38,14 +38,17 @@
 describe("crowds of clients outside the limits", () => {
     let server: SealedServer;
     let entry: EntryProcess;
+    let stopEntry: () => Promise<void>;
     let crowd: Crowd;
 
     beforeEach(async () => {
+        stopEntry = () => Promise.resolve();
         server = await startSealedServer("i-1");
     });
 
     afterEach(async () => {
         crowd.close();
+        await stopEntry();
         killAllPrograms();
         await server.close();
     });
@@ -54,6 +57,7 @@
         const listed = [{ id: server.id, address: server.address, service: "catalogue" }];
         const changes = { configuration, settings: { graceSeconds: 5, ...settings } };
         entry = await startEntryProcess(entryMegabytes, listed, contracts, undefined, changes);
+        stopEntry = () => entry.stop();
     };
 
     const expectAlive = (program: Program, memoryMegabytes: number): void => {
